--- /dev/null
+++ b/rhubarbferry/cell/acceptance.py
@@ -0,0 +1,132 @@
+"""Accept, look up and cancel jobs on behalf of clients, straight in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+from attrs import define
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.record import (
+    JobRecord,
+    decode_phase,
+    encode_phase,
+    encode_request,
+)
+from rhubarbferry.ports.clock import Clock
+from rhubarbferry.ports.store import (
+    Committed,
+    Expect,
+    Put,
+    StoreError,
+    StoreUnclear,
+    Txn,
+    TxnStore,
+)
+
+# Between two tries of a write that the store did not answer or turned away.
+RETRY_S = 0.1
+# The last try must leave time for its answer and for ours.
+LAST_TRY_S = 0.15
+
+
+class Accepted(Enum):
+    """What has become of a submission."""
+
+    YES = "accepted"
+    NO = "not accepted, and it never runs"
+    UNCLEAR = "may have been accepted"
+
+
+class Cancelled(Enum):
+    """What has become of a cancellation."""
+
+    YES = "cancelled or ended"
+    UNKNOWN_JOB = "no such job"
+    NOT_NOW = "the store is not reached"
+
+
+@define(kw_only=True, eq=False)
+class Acceptance:
+    """Clients' jobs in the store. It needs no owner: any process accepts at any time."""
+
+    clock: Clock
+    store: TxnStore
+    log: EventLog
+
+    async def submit(self, record: JobRecord, *, deadline: float) -> Accepted:
+        """Accept a job for good, or say truthfully what is known.
+
+        The write creates the job's state, so that it takes effect once however often it is
+        sent, and a second submission of the same id finds the first. It is sent again while
+        there is time: only an answer tells whether an unanswered write has taken effect.
+
+        :param deadline: monotonic time by which the client must have its answer.
+        """
+        id = record.req.id
+        txn = Txn(
+            expect=(Expect(key=keys.STATES + id, revision=0),),
+            put=(
+                Put(key=keys.STATES + id, value=encode_phase(JobPhase.QUEUED)),
+                Put(key=keys.JOBS + id, value=encode_request(record)),
+            ),
+        )
+        unclear = False
+        reason = ""
+        while True:
+            try:
+                result = await self.store.commit(txn)
+            except StoreError as exc:
+                unclear = unclear or isinstance(exc, StoreUnclear)
+                reason = str(exc)[:200]
+            else:
+                new = isinstance(result, Committed)
+                revision = result.revision if isinstance(result, Committed) else None
+                self.log.emit(
+                    "job.accepted",
+                    job=id,
+                    queue=record.queue.name,
+                    revision=revision,
+                    outcome="new" if new else "known already",
+                )
+                return Accepted.YES
+            if not unclear:
+                # Nothing was written, and waiting would only use up the client's time.
+                self.log.emit("job.not_accepted", job=id, reason=reason, outcome="refused")
+                return Accepted.NO
+            if self.clock.monotonic() + RETRY_S + LAST_TRY_S >= deadline:
+                self.log.emit("job.not_accepted", job=id, reason=reason, outcome="unclear")
+                return Accepted.UNCLEAR
+            await asyncio.sleep(RETRY_S)
+
+    async def phase(self, id: str) -> JobPhase | None:
+        """Return the phase of a job, or ``None`` when there is no such job.
+
+        :raises StoreError: when the store can't be read.
+        """
+        item = await self.store.get(keys.STATES + id)
+        return None if item is None else decode_phase(item.value)
+
+    async def cancel(self, id: str, *, deadline: float) -> Cancelled:
+        """Record that a job is to be stopped; the owner of the work sees it there."""
+        while True:
+            try:
+                phase = await self.phase(id)
+                if phase is None:
+                    return Cancelled.UNKNOWN_JOB
+                if not phase.final:
+                    await self.store.commit(self._cancellation(id))
+                self.log.emit("job.cancel_accepted", job=id, phase=phase.value, outcome="yes")
+                return Cancelled.YES
+            except StoreError as exc:
+                reason = str(exc)[:200]
+            if self.clock.monotonic() + RETRY_S + LAST_TRY_S >= deadline:
+                self.log.emit("job.cancel_accepted", job=id, reason=reason, outcome="no")
+                return Cancelled.NOT_NOW
+            await asyncio.sleep(RETRY_S)
+
+    def _cancellation(self, id: str) -> Txn:
+        return Txn(put=(Put(key=keys.CANCELS + id, value=b"{}"),))
--- /dev/null
+++ b/rhubarbferry/cell/candidate.py
@@ -0,0 +1,175 @@
+"""Become a member of the cell, and the owner of its work when there is none."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import define, field
+from loguru import logger
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.context import Surroundings, Tenure
+from rhubarbferry.cell.members import Ownership, encode_member, rank
+from rhubarbferry.cell.term import Term
+from rhubarbferry.core.lease import Lease
+from rhubarbferry.ports.store import (
+    Committed,
+    Expect,
+    Put,
+    StoreError,
+    Txn,
+    WatchBroken,
+)
+
+# How long one watch call waits.
+WATCH_S = 1.0
+# A watch may miss changes without saying so; a whole read now and then finds them.
+AUDIT_S = 3.0
+RETRY_S = 0.2
+# Members try for the ownership one after the other, each this long after the one before, so
+# that a free ownership costs one write and not one from each member.
+TURN_S = 0.12
+# After a term that ended with a failure of this program, others get their turn first.
+FAILURE_PAUSE_S = 1.0
+
+
+@define(kw_only=True, eq=False)
+class Candidate:
+    """This process's part in the cell.
+
+    :ivar term: the term of ownership, while there is one.
+    """
+
+    around: Surroundings
+    term: Term | None = None
+    _draining: bool = False
+    _running: asyncio.Task[None] | None = None
+    _revision: int = 0
+    _audited_at: float = -AUDIT_S
+    _registered: int = 0
+    _free_since: float | None = None
+    heard: asyncio.Event = field(factory=asyncio.Event)
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except WatchBroken as exc:
+                self.around.log.emit("watch.broken", prefix=keys.CONTROL, reason=str(exc))
+                self._audited_at = -AUDIT_S
+            except StoreError as exc:
+                self.around.log.emit("cell.not_read", reason=str(exc)[:200])
+                await asyncio.sleep(RETRY_S)
+
+    async def leave(self) -> None:
+        """Hand over at once, for a planned stop."""
+        self._draining = True
+        lease = self.around.keeper.held()
+        if self._running is not None:
+            self._running.cancel()
+            await asyncio.gather(self._running, return_exceptions=True)
+        if lease is None:
+            return
+        try:
+            await self.around.store.commit(Txn(delete=(keys.MEMBERS + self.around.own.name,)))
+        except StoreError as exc:
+            self.around.log.emit("member.not_removed", reason=str(exc)[:200])
+
+    async def _step(self) -> None:
+        lease = self.around.keeper.held()
+        if lease is None:
+            self._registered = 0
+            await asyncio.sleep(RETRY_S)
+            return
+        if lease.id != self._registered and not self._draining:
+            await self._register(lease)
+        now = self.around.clock.monotonic()
+        if now - self._audited_at >= AUDIT_S:
+            listing = await self.around.store.list(keys.CONTROL)
+            self.around.view.replace(listing.items)
+            self._revision = listing.revision
+            self._audited_at = now
+        ownership = self.around.view.ownership
+        if ownership is not None:
+            self._free_since = None
+            if self._is_ours(ownership, lease):
+                await self._own(ownership, lease)
+                return
+        if ownership is None and not self._draining:
+            await self._try_to_own(lease)
+        else:
+            await self._watch(WATCH_S)
+
+    async def _watch(self, wait_s: float) -> None:
+        changes = await self.around.store.changes(keys.CONTROL, after=self._revision, wait_s=wait_s)
+        self.around.view.apply(changes.events)
+        self._revision = max(self._revision, changes.revision)
+
+    async def _register(self, lease: Lease) -> None:
+        key = keys.MEMBERS + self.around.own.name
+        value = encode_member(self.around.own)
+        await self.around.store.commit(Txn(put=(Put(key=key, value=value, lease_id=lease.id),)))
+        self._registered = lease.id
+        self.around.log.emit("member.registered", lease=lease.id)
+
+    def _is_ours(self, ownership: Ownership, lease: Lease) -> bool:
+        return ownership.owner.name == self.around.own.name and ownership.lease_id == lease.id
+
+    async def _try_to_own(self, lease: Lease) -> None:
+        now = self.around.clock.monotonic()
+        if self._free_since is None:
+            self._free_since = now
+        place = rank(self.around.own.name, self.around.view.members, seed=self._revision)
+        left = self._free_since + place * TURN_S - now
+        if left > 0:
+            await self._watch(left)
+            return
+        value = encode_member(self.around.own)
+        result = await self.around.store.commit(
+            Txn(
+                expect=(Expect(key=keys.OWNER, revision=0),),
+                put=(Put(key=keys.OWNER, value=value, lease_id=lease.id),),
+            )
+        )
+        self._audited_at = -AUDIT_S
+        if isinstance(result, Committed):
+            ownership = Ownership(owner=self.around.own, fence=result.revision, lease_id=lease.id)
+            self.around.view.ownership = ownership
+            await self._own(ownership, lease)
+
+    async def _own(self, ownership: Ownership, lease: Lease) -> None:
+        tenure = Tenure(keeper=self.around.keeper, lease_id=lease.id, fence=ownership.fence)
+        term = Term(around=self.around, tenure=tenure)
+        self.around.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
+        self.term = term
+        self._running = asyncio.create_task(term.run())
+        failed = False
+        try:
+            await asyncio.shield(self._running)
+        except asyncio.CancelledError:
+            if self._running.cancelled() and not self._draining:
+                raise
+            self._running.cancel()
+        except Exception:
+            # A fault of this program. Another process may do better, and this one must not
+            # hold on to work that it does not do.
+            logger.opt(exception=True).error("the term of ownership failed")
+            failed = True
+        self.term = None
+        await self._give_up(term)
+        self._audited_at = -AUDIT_S
+        if failed:
+            await asyncio.sleep(FAILURE_PAUSE_S)
+
+    async def _give_up(self, term: Term) -> None:
+        tenure = term.tenure
+        self.around.log.emit("term.ended", fence=tenure.fence, reason=tenure.ended or "left")
+        if not tenure.holds():
+            return
+        await term.finish()
+        tenure.end("given up")
+        try:
+            await self.around.store.commit(Txn(expect=(tenure.condition(),), delete=(keys.OWNER,)))
+        except StoreError as exc:
+            self.around.log.emit("owner.not_removed", reason=str(exc)[:200])
--- /dev/null
+++ b/rhubarbferry/cell/decision_log.py
@@ -0,0 +1,131 @@
+"""The owner's log lines: which decision, from which inputs, with which outcome."""
+
+from __future__ import annotations
+
+from attrs import define
+from prometheus_client import Counter, Histogram
+
+from rhubarbferry.cell.advice_desk import Assignment
+from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.messages import (
+    OrderResult,
+    Refused,
+    Started,
+    StartOrder,
+    StopOrder,
+    TaskId,
+    Unanswered,
+)
+from rhubarbferry.dispatch.tracker import RunEnded, RunRefused
+
+STARTS = Counter("rhubarbferry_task_starts_total", "Orders to start a task", ["outcome"])
+ENDS = Counter("rhubarbferry_task_ends_total", "Ends of runs", ["how"])
+START_SECONDS = Histogram(
+    "rhubarbferry_task_start_seconds",
+    "From the order to start a task to its answer",
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
+)
+ADVICE_SECONDS = Histogram(
+    "rhubarbferry_approval_seconds",
+    "From a question for approval to its answer",
+    buckets=(0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+)
+ADVICE_FAILED = Counter("rhubarbferry_approvals_failed_total", "Questions without an answer")
+
+
+def label(task: TaskId) -> str:
+    """Return a task's place within its job, for a log line."""
+    return f"{task.occurrence}.{task.step}.{task.index}"
+
+
+@define(kw_only=True, eq=False)
+class DecisionLog:
+    """Writes the owner's lines and counts what they tell."""
+
+    log: EventLog
+
+    def start(self, order: StartOrder, result: OrderResult, *, took_s: float, fence: int) -> None:
+        """Tell of a start and its answer."""
+        match result:
+            case Started():
+                outcome = "started"
+            case Refused(reason=reason):
+                outcome = f"refused: {reason.value}"
+            case Unanswered(detail=detail):
+                outcome = f"unanswered: {detail}"[:200]
+        STARTS.labels(outcome.partition(":")[0]).inc()
+        START_SECONDS.observe(took_s)
+        self.log.emit(
+            "task.start",
+            job=order.task.job,
+            task=label(order.task),
+            attempt=order.attempt,
+            host=order.host,
+            fence=fence,
+            checkpoint=order.checkpoint or None,
+            took_s=round(took_s, 4),
+            outcome=outcome,
+        )
+
+    def stop(self, order: StopOrder, *, outcome: str) -> None:
+        """Tell of a stop and its answer."""
+        self.log.emit(
+            "task.stop",
+            job=order.task.job,
+            task=label(order.task),
+            attempt=order.attempt,
+            host=order.host,
+            reason=order.reason,
+            outcome=outcome,
+        )
+
+    def advice(
+        self,
+        assignment: Assignment,
+        *,
+        approved: int | None,
+        took_s: float = 0.0,
+        reason: str = "",
+    ) -> None:
+        """Tell of a question for approval and its answer."""
+        order = assignment.order
+        if approved is None:
+            ADVICE_FAILED.inc()
+        else:
+            ADVICE_SECONDS.observe(took_s)
+        self.log.emit(
+            "approval",
+            job=order.step.job,
+            step=f"{order.step.occurrence}.{order.step.step}",
+            asker=assignment.member.name,
+            asked=len(order.hosts),
+            approved=approved,
+            took_s=round(took_s, 4),
+            outcome=reason or "answered",
+        )
+
+    def outcomes(self, dispatcher: Dispatcher) -> None:
+        """Tell of the runs that have ended or were given up since the last call."""
+        notes, dispatcher.notes = dispatcher.notes, []
+        for note in notes:
+            match note:
+                case RunEnded():
+                    ENDS.labels(note.how.value).inc()
+                    self.log.emit(
+                        "task.end",
+                        job=note.task.id.job,
+                        task=label(note.task.id),
+                        attempt=note.attempt,
+                        host=note.host,
+                        outcome=note.how.value,
+                        reason=note.detail or None,
+                    )
+                case RunRefused(reason=None):
+                    self.log.emit(
+                        "task.unreserved",
+                        job=note.task.id.job,
+                        task=label(note.task.id),
+                        host=note.host,
+                        reason=note.detail,
+                    )
--- /dev/null
+++ b/rhubarbferry/cell/host_watch.py
@@ -0,0 +1,90 @@
+"""Keep in touch with one host: extend its task leases and hear what has ended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import define
+
+from rhubarbferry.cell.context import TermContext
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.ports.workers import (
+    FenceStale,
+    HoldRequest,
+    WorkerError,
+    WorkerGone,
+)
+
+# How long a look waits for an end. Shorter finds a silent host sooner, longer costs fewer calls.
+LOOK_S = 0.7
+# After a look that failed.
+RETRY_S = 0.25
+# While ends are not yet on record the host would answer at once each time.
+UNRECORDED_PAUSE_S = 0.05
+
+
+@define(kw_only=True, eq=False)
+class HostWatch:
+    """Looks at one host until it has gone."""
+
+    ctx: TermContext
+    id: str
+
+    async def run(self) -> None:
+        """Look again and again; return when the host is forgotten.
+
+        :raises OwnershipLost: when this process may no longer act as the owner.
+        """
+        while (host := self.ctx.dispatcher.tracker.hosts.get(self.id)) is not None:
+            self.ctx.tenure.check()
+            if not await self._look(host):
+                await asyncio.sleep(RETRY_S)
+            elif host.seen_end > host.recorded_end:
+                await asyncio.sleep(UNRECORDED_PAUSE_S)
+
+    async def _look(self, host: Host) -> bool:
+        ctx = self.ctx
+        sent_at = ctx.now()
+        entry = host.entry
+        deadline_s = host.hold(sent_at, ctx.around.cfg.bounds.task_lease_s)
+        # Ends beyond `forget_to` are listed at once; so there is no use in a wait while some
+        # are not on record. The first look only learns the host's clock.
+        at_once = deadline_s is None or host.seen_end > host.recorded_end
+        req = HoldRequest(
+            fence=ctx.tenure.fence,
+            deadline_s=deadline_s,
+            forget_to=host.recorded_end,
+            wait_s=0.0 if at_once else LOOK_S,
+        )
+        try:
+            report = await ctx.around.workers.hold(entry, req)
+        except FenceStale as exc:
+            ctx.tenure.end(f"host {self.id}: {exc}")
+            return False
+        except WorkerGone as exc:
+            ctx.around.log.emit("host.gone", host=self.id, reason=str(exc))
+            ctx.dispatcher.host_gone(self.id, now=ctx.now())
+            ctx.wake.set()
+            return False
+        except WorkerError as exc:
+            ctx.around.log.emit("host.silent", host=self.id, reason=str(exc)[:200])
+            return False
+        if host.entry.incarnation != entry.incarnation and (
+            report.incarnation != host.entry.incarnation
+        ):
+            return True
+        known = host.adopted
+        ctx.dispatcher.reported(self.id, report, sent_at=sent_at, now=ctx.now())
+        if not known:
+            ctx.around.log.emit(
+                "host.adopted",
+                host=self.id,
+                incarnation=report.incarnation,
+                running=len(report.running),
+                ended=len(report.ended),
+                fence=ctx.tenure.fence,
+            )
+        if host.seen_end > host.recorded_end or ctx.dispatcher.dirty:
+            ctx.record.set()
+        ctx.wake.set()
+        return True
--- /dev/null
+++ b/rhubarbferry/cell/inbox.py
@@ -0,0 +1,195 @@
+"""Learn of accepted jobs and cancellations, and of the loss of ownership, in their order."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import Factory, define, evolve
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.context import OwnershipLost, TermContext
+from rhubarbferry.dispatch.job import Job, JobPhase
+from rhubarbferry.dispatch.record import (
+    RecordError,
+    decode_request,
+    encode_phase,
+    restore_state,
+)
+from rhubarbferry.ports.store import (
+    KeyDeleted,
+    KeyPut,
+    KeyValue,
+    Listing,
+    StoreError,
+    Txn,
+    WatchBroken,
+)
+
+# How long one watch call waits; a watch that has gone silent is found 0.8 s after that.
+WATCH_S = 1.0
+# A watch may miss changes without saying so for as long as it goes on. A whole read now and then
+# finds them; it costs one reading call.
+AUDIT_S = 2.0
+RETRY_S = 0.1
+# A transaction takes 32 entries, the owner's key among them.
+KEYS_PER_TXN = 30
+
+
+@define(kw_only=True, eq=False)
+class Inbox:
+    """Feeds the dispatcher from the store.
+
+    :ivar loaded: whether all that was on record at the takeover has been read.
+    :ivar stale_cancels: cancellations of jobs that had ended, to be removed.
+    """
+
+    ctx: TermContext
+    loaded: bool = False
+    stale_cancels: list[KeyValue] = Factory(list)
+    _revision: int = 0
+    _audited_at: float = 0.0
+
+    async def load(self) -> None:
+        """Read what is on record.
+
+        :raises StoreError: when it can't be read.
+        :raises OwnershipLost: when another process owns the work.
+        """
+        store = self.ctx.around.store
+        states = {
+            item.key.removeprefix(keys.STATES): item
+            for item in (await store.list(keys.STATES)).items
+        }
+        listing = await store.list(keys.CELL)
+        self._take_listing(listing, states)
+        self.loaded = True
+
+    async def run(self) -> None:
+        """Follow the store until cancelled.
+
+        :raises OwnershipLost: when the owner's key is gone or another's.
+        """
+        while True:
+            try:
+                await self._follow()
+            except WatchBroken as exc:
+                self.ctx.around.log.emit("watch.broken", prefix=keys.CELL, reason=str(exc))
+                self._audited_at = 0.0
+            except StoreError as exc:
+                self.ctx.around.log.emit("watch.failed", prefix=keys.CELL, reason=str(exc)[:200])
+                await asyncio.sleep(RETRY_S)
+
+    async def _follow(self) -> None:
+        store = self.ctx.around.store
+        if self.ctx.now() - self._audited_at >= AUDIT_S:
+            self._take_listing(await store.list(keys.CELL), {})
+            await self._remove_stale_cancels()
+        changes = await store.changes(keys.CELL, after=self._revision, wait_s=WATCH_S)
+        self.ctx.around.view.apply(changes.events)
+        for event in changes.events:
+            match event:
+                case KeyPut(kv=kv):
+                    self._put(kv, {})
+                case KeyDeleted(key=key) if key == keys.OWNER:
+                    self._lost("its key was removed")
+        self._revision = max(self._revision, changes.revision)
+        if changes.events:
+            self.ctx.wake.set()
+
+    def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
+        self.ctx.around.view.replace(
+            item for item in listing.items if item.key.startswith(keys.CONTROL)
+        )
+        ownership = self.ctx.around.view.ownership
+        if ownership is None or ownership.fence != self.ctx.tenure.fence:
+            self._lost("its key was removed or replaced")
+        # Jobs first: a cancellation is of use only once its job is known.
+        for item in sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS)):
+            self._put(item, states)
+        self._revision = max(self._revision, listing.revision)
+        self._audited_at = self.ctx.now()
+        self.ctx.wake.set()
+
+    def _lost(self, reason: str) -> None:
+        self.ctx.tenure.end(reason)
+        raise OwnershipLost(reason)
+
+    def _put(self, kv: KeyValue, states: dict[str, KeyValue]) -> None:
+        if kv.key == keys.OWNER and kv.mod_revision != self.ctx.tenure.fence:
+            self._lost("its key was replaced")
+        elif kv.key.startswith(keys.JOBS):
+            self._job(kv, states)
+        elif kv.key.startswith(keys.CANCELS):
+            self._cancel(kv)
+
+    def _job(self, kv: KeyValue, states: dict[str, KeyValue]) -> None:
+        id = kv.key.removeprefix(keys.JOBS)
+        # A listing may be older than the end of a job that it shows.
+        if id in self.ctx.dispatcher.jobs or id in self.ctx.dispatcher.ended:
+            return
+        inherited = kv.mod_revision < self.ctx.tenure.fence
+        state = states.get(id)
+        if state is None and inherited:
+            self.ctx.around.log.emit("job.unreadable", job=id, reason="it has no state")
+            return
+        if state is None:
+            # Acceptance writes the request and the state at one revision, and after it only
+            # this owner writes the state.
+            state = evolve(kv, key=keys.STATES + id, value=encode_phase(JobPhase.QUEUED))
+        try:
+            job = self._make(kv, state, inherited=inherited)
+        except RecordError as exc:
+            self.ctx.around.log.emit("job.unreadable", job=id, reason=str(exc))
+            return
+        if job.phase.final:
+            return
+        wall_s = self.ctx.around.clock.wall()
+        self.ctx.dispatcher.add_job(job, now=self.ctx.now(), wall_s=wall_s)
+        self.ctx.around.log.emit(
+            "job.taken",
+            job=id,
+            queue=job.queue.name,
+            revision=kv.mod_revision,
+            inherited=inherited,
+            tasks=sum(step.count for step in job.req.steps),
+            outcome=job.phase.value,
+        )
+
+    def _make(self, kv: KeyValue, state: KeyValue, *, inherited: bool) -> Job:
+        record = decode_request(kv.value)
+        routes = self.ctx.around.routes()
+        queue = routes.queues.get(record.queue.name) if routes is not None else None
+        job = Job(
+            req=record.req,
+            queue=queue or record.queue,
+            arrived_at=self.ctx.now(),
+            created_revision=kv.mod_revision,
+            record_revision=state.mod_revision,
+            inherited=inherited,
+            first_attempt=self.ctx.tenure.fence if inherited else 1,
+        )
+        if not job.req.times:
+            job.add_occurrence(0, self.ctx.now())
+        restore_state(job, state.value, now=self.ctx.now())
+        return job
+
+    def _cancel(self, kv: KeyValue) -> None:
+        id = kv.key.removeprefix(keys.CANCELS)
+        if id in self.ctx.dispatcher.jobs:
+            # The key goes with the record of the job's end. Removed any earlier, a crash
+            # between the two would bring the job back to life.
+            self.ctx.dispatcher.cancel_job(id)
+            outcome = "stopping"
+        else:
+            self.stale_cancels.append(kv)
+            outcome = "had ended"
+        self.ctx.around.log.emit("job.cancelled", job=id, revision=kv.mod_revision, outcome=outcome)
+
+    async def _remove_stale_cancels(self) -> None:
+        stale, self.stale_cancels = self.stale_cancels, []
+        for start in range(0, len(stale), KEYS_PER_TXN):
+            names = tuple(kv.key for kv in stale[start : start + KEYS_PER_TXN])
+            # A key that stays is found again by the next whole read.
+            await self.ctx.around.store.commit(
+                Txn(expect=(self.ctx.tenure.condition(),), delete=names)
+            )
--- /dev/null
+++ b/rhubarbferry/cell/keys.py
@@ -0,0 +1,15 @@
+"""Where things lie in the store.
+
+All that the owner of the work follows lies under one prefix, so that one watch shows it in the
+order in which it happened. An owner that has lost its key learns of that before it sees any job
+that was accepted afterwards, and so never starts a job that belongs to its successor.
+"""
+
+CELL = "cell/"
+CONTROL = "cell/control/"
+OWNER = "cell/control/owner"
+MEMBERS = "cell/control/members/"
+JOBS = "cell/work/jobs/"
+CANCELS = "cell/work/cancels/"
+STATES = "state/"
+ROSTER = "roster"
--- /dev/null
+++ b/rhubarbferry/cell/lease.py
@@ -0,0 +1,94 @@
+"""The lease in the store that this process lives by."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import define, field
+
+from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.core.lease import Lease
+from rhubarbferry.ports.clock import Clock
+from rhubarbferry.ports.store import LeaseLost, StoreError, TxnStore
+
+# A killed owner is replaced once its lease has ended, so a short lease means a short gap. It must
+# outlast a slow store: answers that take 0.4 s and one renewal that gets none.
+TTL_S = 2.0
+RENEW_S = 0.4
+# Taken off each term: the clocks of this host and the store may differ by 2 %.
+MARGIN_S = 0.1
+RETRY_S = 0.2
+
+
+@define(kw_only=True, eq=False)
+class LeaseKeeper:
+    """Open a lease and extend it until told to stop.
+
+    :ivar changed: set whenever a lease is gained or lost.
+    """
+
+    clock: Clock
+    store: TxnStore
+    log: EventLog
+    changed: asyncio.Event = field(factory=asyncio.Event)
+    lease: Lease | None = None
+    _incarnation: int = 0
+    _renewals: set[asyncio.Task[None]] = field(factory=set)
+
+    def held(self) -> Lease | None:
+        """Return the lease if it holds for sure now."""
+        lease = self.lease
+        return lease if lease is not None and lease.holds(self.clock.monotonic()) else None
+
+    async def run(self) -> None:
+        """Keep a lease until cancelled."""
+        while True:
+            if self.lease is None:
+                await self._grant()
+            elif not self.lease.holds(self.clock.monotonic()):
+                self._lost("it was not extended in time")
+            else:
+                # Not one after the other: a renewal whose connection has gone silent must not
+                # hold up the next one, or the lease ends although the store is well.
+                renewal = asyncio.create_task(self._renew(self.lease))
+                self._renewals.add(renewal)
+                renewal.add_done_callback(self._renewals.discard)
+                await self.clock.sleep(RENEW_S)
+
+    async def _grant(self) -> None:
+        asked_at = self.clock.monotonic()
+        try:
+            id = await self.store.grant_lease(TTL_S)
+        except StoreError as exc:
+            self.log.emit("lease.not_granted", reason=str(exc))
+            await self.clock.sleep(RETRY_S)
+            return
+        self._incarnation += 1
+        self.lease = Lease.granted(
+            id=id,
+            incarnation=self._incarnation,
+            asked_at=asked_at,
+            ttl_s=TTL_S,
+            margin_s=MARGIN_S,
+        )
+        self.log.emit("lease.granted", lease=id, outcome="store reached")
+        self.changed.set()
+
+    async def _renew(self, lease: Lease) -> None:
+        asked_at = self.clock.monotonic()
+        try:
+            ttl_s = await self.store.keep_alive(lease.id)
+        except LeaseLost:
+            if self.lease is not None and self.lease.id == lease.id:
+                self._lost("the store has ended it")
+        except StoreError as exc:
+            self.log.emit("lease.not_extended", lease=lease.id, reason=str(exc))
+        else:
+            if self.lease is not None and self.lease.id == lease.id:
+                self.lease = self.lease.renewed(asked_at=asked_at, ttl_s=ttl_s)
+
+    def _lost(self, reason: str) -> None:
+        assert self.lease is not None
+        self.log.emit("lease.lost", lease=self.lease.id, reason=reason)
+        self.lease = None
+        self.changed.set()
--- /dev/null
+++ b/rhubarbferry/cell/members.py
@@ -0,0 +1,105 @@
+"""Who is in the cell and who owns its work, as the store shows it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+
+import xxhash
+from attrs import asdict, define, field, frozen
+
+from rhubarbferry.cell import keys
+from rhubarbferry.ports.store import KeyDeleted, KeyPut, KeyValue, WatchEvent
+
+
+@frozen(kw_only=True, slots=True)
+class Member:
+    """One process of the cell.
+
+    :param address: ``ip:port`` of its calls from other processes.
+    """
+
+    name: str
+    address: str
+    region: str
+    failure_domain: str
+
+
+@frozen(kw_only=True, slots=True)
+class Ownership:
+    """The key that makes a process the owner.
+
+    :param fence: the store's revision that holds it; higher for each later owner.
+    """
+
+    owner: Member
+    fence: int
+    lease_id: int
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the value of a member's or the owner's key."""
+    return json.dumps(asdict(member), separators=(",", ":")).encode()
+
+
+def decode_member(value: bytes) -> Member:
+    """Read a member's or the owner's key.
+
+    :raises ValueError: when the value is none.
+    """
+    try:
+        return Member(**json.loads(value))
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"no member: {exc!r}") from exc
+
+
+@define(kw_only=True, eq=False)
+class CellView:
+    """The members and the owner, kept up to date from listings and watches."""
+
+    members: dict[str, Member] = field(factory=dict)
+    ownership: Ownership | None = None
+
+    def replace(self, items: Iterable[KeyValue]) -> None:
+        """Take in a whole listing."""
+        self.members = {}
+        self.ownership = None
+        for item in items:
+            self._put(item)
+
+    def apply(self, events: Iterable[WatchEvent]) -> None:
+        """Take in changes."""
+        for event in events:
+            match event:
+                case KeyPut(kv=kv):
+                    self._put(kv)
+                case KeyDeleted(key=key):
+                    self._delete(key)
+
+    def _put(self, kv: KeyValue) -> None:
+        if kv.key == keys.OWNER:
+            self.ownership = Ownership(
+                owner=decode_member(kv.value), fence=kv.mod_revision, lease_id=kv.lease_id
+            )
+        elif kv.key.startswith(keys.MEMBERS):
+            member = decode_member(kv.value)
+            self.members[member.name] = member
+
+    def _delete(self, key: str) -> None:
+        if key == keys.OWNER:
+            self.ownership = None
+        elif key.startswith(keys.MEMBERS):
+            self.members.pop(key.removeprefix(keys.MEMBERS), None)
+
+
+def rank(name: str, members: Iterable[str], *, seed: int) -> int:
+    """Return the place of a member among those that may become owner next.
+
+    :param seed: changes the order from one election to the next.
+    """
+
+    def weight(member: str) -> int:
+        return xxhash.xxh64_intdigest(member.encode(), seed=seed & 0xFFFFFFFF)
+
+    own = weight(name)
+    return sum(1 for member in members if member != name and weight(member) < own)
--- /dev/null
+++ b/rhubarbferry/cell/routes.py
@@ -0,0 +1,68 @@
+"""Which queue a client's path belongs to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import ClassVar
+
+from attrs import Factory, define, field, frozen
+
+from rhubarbferry.dispatch.messages import Queue
+
+
+@frozen(kw_only=True, slots=True)
+class Route:
+    """Requests for ``host`` whose path begins with ``prefix`` belong to ``queue``."""
+
+    host: str
+    prefix: str
+    queue: Queue
+
+
+@frozen(kw_only=True)
+class Limits:
+    """Bounds on what clients send.
+
+    :param body_bytes: largest body.
+    :param idle_s: how long a connection may be idle.
+    """
+
+    body_bytes_default: ClassVar[int] = 262144
+
+    body_bytes: int = body_bytes_default
+    idle_s: float = 15.0
+
+
+@define(kw_only=True, eq=False)
+class RouteTable:
+    """A configuration in force.
+
+    Built once for each revision: by host, then by prefix with the longest first, so that a
+    request does not pay for the number of routes of other hosts.
+
+    :param version: the operator's number, for logs.
+    :param revision: the store's revision that holds it.
+    """
+
+    version: int
+    revision: int
+    routes: Iterable[Route]
+    limits: Limits = Factory(Limits)
+    queues: dict[str, Queue] = field(init=False)
+    _by_host: dict[str, list[Route]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.queues = {route.queue.name: route.queue for route in self.routes}
+        self._by_host = {}
+        for route in self.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or ``None``."""
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/rhubarbferry/cell/term.py
@@ -0,0 +1,298 @@
+"""One term of ownership: load what is on record, adopt the hosts, then decide."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from attrs import define, field
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.advice_desk import AdviceDesk, Assignment
+from rhubarbferry.cell.context import OwnershipLost, Surroundings, Tenure, TermContext
+from rhubarbferry.cell.decision_log import DecisionLog
+from rhubarbferry.cell.host_watch import HostWatch
+from rhubarbferry.cell.inbox import Inbox
+from rhubarbferry.cell.lease import TTL_S
+from rhubarbferry.cell.recorder import Recorder
+from rhubarbferry.cell.roster import Roster
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.hosts import CLOCK_DRIFT, LAPSE_MARGIN_S
+from rhubarbferry.dispatch.messages import (
+    Advice,
+    AdviceOrder,
+    HostEntry,
+    Order,
+    Sizes,
+    StartOrder,
+    StopOrder,
+)
+from rhubarbferry.dispatch.succession import Succession
+from rhubarbferry.ports.store import StoreError
+from rhubarbferry.ports.workers import FenceStale, WorkerError
+
+# At most this long between two decisions, for what depends on time alone.
+TICK_S = 0.1
+# Between two reads of the host list. A draining host must get no task 2.5 s after it said so.
+DIRECTORY_S = 0.5
+# Beyond the expected time of a question: hops, and the wait behind other work.
+ADVICE_SLACK_S = 1.0
+# Waiting steps are looked at anew this often, should a change have been missed.
+REVIEW_S = 1.0
+RETRY_S = 0.2
+# A host of the roster gets no new task before the host list has shown its capacity.
+_NO_ROOM = Sizes()
+
+
+@define(kw_only=True, eq=False)
+class Term:
+    """Owns the work of the cell until the ownership is lost or given up."""
+
+    around: Surroundings
+    tenure: Tenure
+    ctx: TermContext = field(init=False)
+    _roster: Roster = field(init=False)
+    _inbox: Inbox = field(init=False)
+    _recorder: Recorder = field(init=False)
+    _desk: AdviceDesk = field(init=False)
+    _log: DecisionLog = field(init=False)
+    _tasks: asyncio.TaskGroup = field(init=False)
+    _watched: set[str] = field(factory=set)
+    _reviewed_at: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        took_over_at = self.around.clock.monotonic()
+        lease_s = self.around.cfg.bounds.task_lease_s
+        succession = Succession(
+            lapsed_at=took_over_at + TTL_S + lease_s * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+        )
+        self.ctx = TermContext(
+            around=self.around,
+            tenure=self.tenure,
+            dispatcher=Dispatcher(succession=succession),
+        )
+        self._roster = Roster(store=self.around.store, tenure=self.tenure)
+        self._inbox = Inbox(ctx=self.ctx)
+        self._recorder = Recorder(ctx=self.ctx)
+        self._desk = AdviceDesk(own=self.around.own.name, region=self.around.own.region)
+        self._log = DecisionLog(log=self.around.log)
+
+    def pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue have not begun, or ``None`` when that is not known."""
+        if not self.tenure.holds() or not self._inbox.loaded:
+            return None
+        return self.ctx.dispatcher.pending(queue)
+
+    async def run(self) -> None:
+        """Own the work; return when that has ended."""
+        try:
+            await self._load()
+            async with asyncio.TaskGroup() as self._tasks:
+                self._spawn(self._inbox.run())
+                self._spawn(self._recorder.run())
+                self._spawn(self._follow_directory())
+                await self._decide_forever()
+        except* OwnershipLost as lost:
+            self.tenure.end(str(lost.exceptions[0]))
+
+    async def finish(self) -> None:
+        """Write what is still unwritten, before the ownership is handed over."""
+        try:
+            await self._recorder.flush()
+        except OwnershipLost as exc:
+            self.around.log.emit("term.unfinished", reason=str(exc))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.create_task(work)
+
+    async def _load(self) -> None:
+        while True:
+            self.tenure.check()
+            try:
+                self._roster.load(await self.around.store.get(keys.ROSTER))
+                await self._inbox.load()
+                break
+            except StoreError as exc:
+                self.around.log.emit("term.not_loaded", reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+        succession = self.ctx.dispatcher.succession
+        succession.unheard = dict(self._roster.entries)
+        self.around.log.emit(
+            "term.loaded",
+            fence=self.tenure.fence,
+            jobs=len(self.ctx.dispatcher.jobs),
+            hosts=len(succession.unheard),
+        )
+
+    # ------------------------------------------------------------ hosts
+
+    async def _follow_directory(self) -> None:
+        self._watch_roster()
+        while True:
+            try:
+                await self._read_directory()
+            except StoreError as exc:
+                self.around.log.emit("hosts.not_read", reason=str(exc))
+            await asyncio.sleep(DIRECTORY_S)
+
+    def _watch_roster(self) -> None:
+        """Ask the hosts of the roster at once: they may run tasks of an earlier owner."""
+        for known in self._roster.entries.values():
+            entry = HostEntry(
+                id=known.id,
+                incarnation=known.incarnation,
+                service=known.service,
+                address=known.address,
+                capacity=_NO_ROOM,
+            )
+            self.ctx.dispatcher.host_listed(entry, now=self.ctx.now())
+            self._watch(known.id)
+
+    async def _read_directory(self) -> None:
+        entries = {entry.id: entry for entry in await self.around.directory.hosts()}
+        hosts = self.ctx.dispatcher.tracker.hosts
+        gone = [id for id in self._roster.entries if id not in entries and id not in hosts]
+        unheard = self.ctx.dispatcher.succession.unheard
+        await self._roster.update(
+            add=[entry for entry in entries.values() if not self._roster.holds(entry.id)],
+            remove=[id for id in gone if id not in unheard],
+        )
+        now = self.ctx.now()
+        for entry in entries.values():
+            if self._roster.holds(entry.id):
+                self._note_phase(entry)
+                self.ctx.dispatcher.host_listed(entry, now=now)
+                self._watch(entry.id)
+        for id, host in hosts.items():
+            if id not in entries and host.listed:
+                self.around.log.emit("host.unlisted", host=id, runs=len(host.runs))
+                self.ctx.dispatcher.host_unlisted(id)
+        self.ctx.wake.set()
+
+    def _note_phase(self, entry: HostEntry) -> None:
+        known = self.ctx.dispatcher.tracker.hosts.get(entry.id)
+        if known is None or known.entry.phase is not entry.phase:
+            self.around.log.emit(
+                "host.listed",
+                host=entry.id,
+                incarnation=entry.incarnation,
+                phase=entry.phase.value,
+                remaining_s=entry.remaining_s,
+            )
+
+    def _watch(self, id: str) -> None:
+        if id in self._watched:
+            return
+        self._watched.add(id)
+        self._spawn(self._watch_host(id))
+
+    async def _watch_host(self, id: str) -> None:
+        try:
+            await HostWatch(ctx=self.ctx, id=id).run()
+        finally:
+            self._watched.discard(id)
+
+    # ------------------------------------------------------------ decisions
+
+    async def _decide_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self.ctx.wake.wait()
+            except TimeoutError:
+                pass
+            self.ctx.wake.clear()
+            self.tenure.check()
+            self._decide()
+
+    def _decide(self) -> None:
+        dispatcher = self.ctx.dispatcher
+        now = self.ctx.now()
+        routes = self.around.routes()
+        if routes is not None:
+            dispatcher.configure(routes.queues)
+        if now - self._reviewed_at >= REVIEW_S:
+            self._reviewed_at = now
+            dispatcher.retry()
+        orders = dispatcher.decide(now=now, wall_s=self.around.clock.wall())
+        self._log.outcomes(dispatcher)
+        for order in orders:
+            self._carry_out(order)
+        for assignment in self._desk.assign(self._members()):
+            self._spawn(self._ask(assignment))
+        if dispatcher.dirty:
+            self.ctx.record.set()
+
+    def _members(self) -> list:
+        members = dict(self.around.view.members)
+        members.setdefault(self.around.own.name, self.around.own)
+        return list(members.values())
+
+    def _carry_out(self, order: Order) -> None:
+        match order:
+            case StartOrder():
+                self._spawn(self._start(order))
+            case StopOrder():
+                self._spawn(self._stop(order))
+            case AdviceOrder():
+                job = self.ctx.dispatcher.jobs.get(order.step.job)
+                self._desk.add(order, priority=job.queue.priority if job is not None else 0)
+
+    async def _start(self, order: StartOrder) -> None:
+        host = self.ctx.dispatcher.tracker.hosts[order.host]
+        if not self.tenure.holds():
+            return
+        sent_at = self.ctx.now()
+        result = await self.around.workers.start(host.entry, order, fence=self.tenure.fence)
+        now = self.ctx.now()
+        self._log.start(order, result, took_s=now - sent_at, fence=self.tenure.fence)
+        self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
+        self.ctx.wake.set()
+
+    async def _stop(self, order: StopOrder) -> None:
+        host = self.ctx.dispatcher.tracker.hosts.get(order.host)
+        if host is None or not self.tenure.holds():
+            return
+        try:
+            clock_s = await self.around.workers.stop(host.entry, order, fence=self.tenure.fence)
+        except FenceStale as exc:
+            self.tenure.end(f"host {order.host}: {exc}")
+            return
+        except WorkerError as exc:
+            self._log.stop(order, outcome=f"no answer: {exc}"[:200])
+            return
+        self._log.stop(order, outcome="taken")
+        self.ctx.dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
+
+    async def _ask(self, assignment: Assignment) -> None:
+        order = assignment.order
+        asked_at = self.ctx.now()
+        timeout_s = order.cost.duration_s(len(order.hosts)) + ADVICE_SLACK_S
+        try:
+            if assignment.member.name == self.around.own.name and self.around.policy is not None:
+                found = await self.around.policy.ask(order.step, order.hosts, timeout_s=timeout_s)
+            else:
+                found = await self.around.peers.ask_approval(
+                    assignment.member, order.step, order.hosts, timeout_s=timeout_s
+                )
+        except WorkerError as exc:
+            self._log.advice(assignment, approved=None, reason=str(exc)[:200])
+            self.ctx.dispatcher.advice_failed(order, now=self.ctx.now())
+        else:
+            now = self.ctx.now()
+            self._log.advice(assignment, approved=len(found.approvals), took_s=now - asked_at)
+            self.ctx.dispatcher.advised(
+                Advice(
+                    step=order.step,
+                    asked=order.hosts,
+                    approvals=found.approvals,
+                    asked_at=asked_at,
+                    answered_at=now,
+                    valid_s=found.valid_s,
+                ),
+                now=now,
+            )
+        finally:
+            self._desk.done(assignment.member.name)
+            self.ctx.wake.set()
--- /dev/null
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -0,0 +1,600 @@
+"""Decide which task runs where: jobs and host reports come in, orders go out.
+
+The dispatcher does no I/O and reads no clock. Its caller hands in what happened, with the time,
+takes the orders from :meth:`Dispatcher.decide`, and writes the jobs in ``dirty`` to the store.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from attrs import Factory, define, field
+
+from rhubarbferry.core.ejection import EjectionRules, Ejector
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
+from rhubarbferry.dispatch.messages import (
+    Advice,
+    AdviceOrder,
+    EndKind,
+    HostEntry,
+    HostReport,
+    Order,
+    OrderResult,
+    Queue,
+    Refusal,
+    StartOrder,
+    StepId,
+    StopOrder,
+    TaskId,
+)
+from rhubarbferry.dispatch.placement import Placed, could_run, place
+from rhubarbferry.dispatch.succession import Succession
+from rhubarbferry.dispatch.tracker import Outcome, RunEnded, RunRefused, Tracker
+from rhubarbferry.dispatch.waiting import Order as Place
+from rhubarbferry.dispatch.waiting import WaitingSteps
+
+# A start must reach its host within this time of the host's clock, or it is refused there. So
+# an order that got no answer is settled soon: after this time the host can't carry it out.
+START_VALID_S = 1.5
+# One question names at most this many hosts; the policy service refuses longer ones.
+HOSTS_PER_QUESTION = 100
+# After a question that got no answer, before the next one for the same step.
+QUESTION_PAUSE_S = 0.3
+# A reservation that has no ticket by then is given up: its room is wanted by others.
+RESERVATION_SLACK_S = 1.5
+# A host that refused a start for its own state gets no new task for this long.
+REFUSED_PAUSE_S = 0.5
+# A task whose progress has not moved for this long, while its host goes on reporting, hangs.
+# Progress is reported in percent, and one percent of the longest tasks seen takes 0.2 s.
+HUNG_S = 2.5
+# A host on which a task hung gets no new task for this long.
+HUNG_PAUSE_S = 4.0
+# Tasks fail by their own fault in a few percent of runs, so a host is taken out of use only
+# after failures of this many jobs with no success between.
+HOST_RULES = EjectionRules(distinct_failures=3, window_s=10.0, eject_s=3.0, max_eject_s=12.0)
+# Reasons that lie with the host, so that the next task would be refused as well.
+HOST_REFUSALS = (Refusal.NO_ROOM, Refusal.UNHEALTHY, Refusal.OTHER_HOST)
+
+
+@define(kw_only=True, eq=False)
+class Dispatcher:
+    """The owner's view of the jobs and hosts of a cell.
+
+    :param succession: what must be known before inherited jobs go on.
+    :ivar dirty: jobs whose recorded state is behind, in the order of change.
+    :ivar ended: jobs whose end was recorded in this term.
+    :ivar notes: outcomes since the last look, for the log.
+    """
+
+    succession: Succession
+    jobs: dict[str, Job] = Factory(dict)
+    dirty: dict[str, Job] = Factory(dict)
+    ended: set[str] = Factory(set)
+    notes: list[Outcome] = Factory(list)
+    tracker: Tracker = field(init=False)
+    waiting: WaitingSteps = Factory(WaitingSteps)
+    _touched: dict[Step, None] = Factory(dict)
+    _ask_again: dict[Step, float] = Factory(dict)
+    _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
+    _timed: dict[str, Job] = Factory(dict)
+    _was_settled: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.tracker = Tracker(jobs=self.jobs)
+
+    # ------------------------------------------------------------ jobs
+
+    def add_job(self, job: Job, *, now: float, wall_s: float) -> None:
+        """Take on a job that was accepted, new or inherited."""
+        self.jobs[job.id] = job
+        if job.req.times > 0:
+            self._timed[job.id] = job
+            self._make_due(job, now, wall_s)
+        elif not job.occurrences:
+            job.add_occurrence(0, now)
+        for step in job.steps():
+            if step.done_count or step.ever_started:
+                job.started = True
+        self._open_steps(job, now)
+        self._finish_if_done(job)
+
+    def cancel_job(self, id: str) -> None:
+        """Stop a job for good; one that has ended stays as it is."""
+        job = self.jobs.get(id)
+        if job is not None and not job.phase.final:
+            self._finish(job, JobPhase.CANCELLED, "cancelled by its client")
+
+    def recorded(self, job: Job) -> None:
+        """Note that a job's last state stands in the store; one that has ended is dropped."""
+        if job.phase.final:
+            self.jobs.pop(job.id, None)
+            self._timed.pop(job.id, None)
+            self.ended.add(job.id)
+
+    def configure(self, queues: Mapping[str, Queue]) -> None:
+        """Apply a configuration: what is not in it keeps its last form."""
+        for job in self.jobs.values():
+            queue = queues.get(job.queue.name)
+            if queue is None or queue == job.queue:
+                continue
+            job.queue = queue
+            for step in job.steps():
+                if step in self.waiting:
+                    self._enqueue(step)
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have not started a task."""
+        return sum(1 for job in self.jobs.values() if job.queue.name == queue and not job.started)
+
+    # ------------------------------------------------------------ hosts
+
+    def host_listed(self, entry: HostEntry, *, now: float) -> None:
+        """Take in an entry of the host list."""
+        self._apply(self.tracker.host_listed(entry), now)
+
+    def host_unlisted(self, id: str) -> None:
+        """Note that the host list no longer shows a host."""
+        self.tracker.host_unlisted(id)
+
+    def host_gone(self, id: str, *, now: float) -> None:
+        """Note that a host's life is over for sure."""
+        self.succession.heard(id)
+        host = self.tracker.hosts.get(id)
+        if host is not None:
+            self._apply(self.tracker.host_gone(host), now)
+
+    def reported(self, id: str, report: HostReport, *, sent_at: float, now: float) -> None:
+        """Work in a host's report; the answer must be to a call under our fence number."""
+        host = self.tracker.hosts.get(id)
+        if host is None:
+            return
+        self.succession.heard(id)
+        self._apply(self.tracker.reported(host, report, sent_at=sent_at, now=now), now)
+        self._stop_hung(host, now)
+
+    def start_answered(
+        self, id: str, task: TaskId, attempt: int, result: OrderResult, *, now: float
+    ) -> None:
+        """Work in the answer to a start."""
+        host = self.tracker.hosts.get(id)
+        run = host.runs.get((task, attempt)) if host is not None else None
+        if host is not None and run is not None:
+            self._apply(self.tracker.start_answered(host, run, result, now=now), now)
+
+    def stop_answered(self, id: str, task: TaskId, attempt: int, clock_s: float) -> None:
+        """Note that a host took a stop."""
+        host = self.tracker.hosts.get(id)
+        if host is not None:
+            self.tracker.stop_answered(host, (task, attempt), clock_s)
+
+    # ------------------------------------------------------------ approvals
+
+    def advised(self, advice: Advice, *, now: float) -> None:
+        """Work in the answer to a question for approval."""
+        step = self._step(advice.step)
+        if step is None:
+            return
+        incarnations = {id: host.entry.incarnation for id, host in self.tracker.hosts.items()}
+        step.approvals.learn(advice, incarnations)
+        self._look_at(step)
+
+    def advice_failed(self, order: AdviceOrder, *, now: float) -> None:
+        """Note that a question got no answer."""
+        step = self._step(order.step)
+        if step is None:
+            return
+        step.approvals.asking.difference_update(order.hosts)
+        step.approvals.failed_at = now
+        self._ask_again[step] = now + QUESTION_PAUSE_S
+
+    # ------------------------------------------------------------ decisions
+
+    def decide(self, *, now: float, wall_s: float) -> list[Order]:
+        """Return the orders to carry out now.
+
+        :param wall_s: time of day, for jobs that start by it.
+        """
+        orders: list[Order] = []
+        self._apply(self.tracker.lapse(now, keep=self.succession.unheard), now)
+        for job in list(self._timed.values()):
+            self._make_due(job, now, wall_s)
+            self._open_steps(job, now)
+        self._give_up_reservations(now)
+        self._note_opened(now)
+        for step in [step for step, at in self._ask_again.items() if now >= at]:
+            del self._ask_again[step]
+            if not step.job.phase.final and not step.done:
+                self._look_at(step)
+        if not self._was_settled and self.succession.settled(now):
+            self._was_settled = True
+            self.succession.unheard.clear()
+            self._settle_gangs()
+            self._touched.update(dict.fromkeys(self.waiting.in_order()))
+        for step in self._candidates(now):
+            orders += self._place(step, now)
+        orders += self._take_stops()
+        return orders
+
+    def retry(self) -> None:
+        """Look at all waiting steps at the next decision."""
+        self._touched.update(dict.fromkeys(self.waiting.in_order()))
+
+    def _take_stops(self) -> list[StopOrder]:
+        stops, self.tracker.stops = self.tracker.stops, []
+        return stops
+
+    def _note_opened(self, now: float) -> None:
+        """Count hosts that take tasks again as changed, so that what waits is looked at."""
+        for host in self.tracker.hosts.values():
+            opened = host.takes_tasks(now)
+            if opened and not host.was_open:
+                self.tracker.changed.add(host.id)
+            host.was_open = opened
+
+    def _candidates(self, now: float) -> list[Step]:
+        changed = [self.tracker.hosts[id] for id in self.tracker.changed & set(self.tracker.hosts)]
+        self.tracker.changed.clear()
+        found = {step for step in self._touched if step in self.waiting}
+        self._touched.clear()
+        if changed:
+            most = max(host.room.millicores for host in changed)
+            for step in self.waiting.in_order(millicores=most):
+                if step not in found and any(self._may_help(step, host) for host in changed):
+                    found.add(step)
+        return sorted(found, key=self.waiting.order)
+
+    def _may_help(self, step: Step, host: Host) -> bool:
+        return host.id not in step.approvals.denied and step.req.room.fits(host.room)
+
+    def _usable(self, step: Step, now: float) -> list[Host]:
+        return [
+            host
+            for host in self.tracker.hosts.values()
+            if host.takes_tasks(now)
+            and could_run(step, host)
+            and self._ejector.usable(host.id, now=now)
+        ]
+
+    def _place(self, step: Step, now: float) -> list[Order]:
+        if step.job.inherited and not self.succession.settled(now):
+            return []
+        usable = self._usable(step, now)
+        advice = step.job.queue.advice
+        allowed = usable
+        if advice is not None:
+            allowed = [host for host in usable if host.id in step.approvals.approved]
+        placed = place(step, allowed, slowness=lambda host: self._slowness(step, host))
+        orders = self._reserve(step, placed, now)
+        if advice is not None:
+            orders += self._questions(step, usable, now)
+        if not step.waiting():
+            self.waiting.discard(step)
+        return orders
+
+    def _slowness(self, step: Step, host: Host) -> float:
+        return 0.0
+
+    def _reserve(self, step: Step, placed: Iterable[Placed], now: float) -> list[Order]:
+        attempt = self._gang_attempt(step) if step.req.gang else 0
+        for item in placed:
+            task = item.task
+            number = attempt or self._next_attempt(task)
+            run = Run(
+                task=task,
+                attempt=number,
+                host=item.host.id,
+                phase=RunPhase.RESERVED,
+                ordered_at=now,
+            )
+            task.run = run
+            item.host.add(run)
+            self._ejector.started(item.host.id, step.job.id, now=now)
+        return self._start_reserved(step, now)
+
+    def _next_attempt(self, task: Task) -> int:
+        return max(task.attempt + 1, task.step.job.first_attempt)
+
+    def _gang_attempt(self, step: Step) -> int:
+        return max(self._next_attempt(task) for task in step.tasks)
+
+    def _start_reserved(self, step: Step, now: float) -> list[Order]:
+        """Start the reserved runs of a step that have a ticket, or need none."""
+        reserved = [
+            task.run
+            for task in step.tasks
+            if task.run is not None and task.run.phase is RunPhase.RESERVED
+        ]
+        ready = [
+            (run, ticket) for run in reserved if (ticket := self._ticket(run, now)) is not None
+        ]
+        if step.req.gang and len(ready) < len(step.tasks):
+            return []
+        orders: list[Order] = []
+        if ready:
+            checkpoint = self._gang_checkpoint(step)
+            for run, ticket in ready:
+                orders.append(self._start(run, ticket, checkpoint, now))
+            self._note_start(step.job)
+        return orders
+
+    def _ticket(self, run: Run, now: float) -> str | None:
+        if run.task.step.job.queue.advice is None:
+            return ""
+        host = self.tracker.hosts[run.host]
+        ticket = run.task.step.approvals.ticket(host.id, host.entry.incarnation, now)
+        return ticket or None
+
+    def _gang_checkpoint(self, step: Step) -> str | None:
+        """Return the point that all members of a gang resume from; ``None`` for no gang."""
+        if not step.req.gang:
+            return None
+        return max((task.checkpoint for task in step.tasks), default="")
+
+    def _start(self, run: Run, ticket: str, checkpoint: str | None, now: float) -> StartOrder:
+        host = self.tracker.hosts[run.host]
+        assert host.clock is not None
+        task = run.task
+        run.phase = RunPhase.ORDERED
+        run.ordered_at = now
+        run.deadline_s = host.clock.estimate(now) + START_VALID_S
+        host.held_until_s = max(host.held_until_s, run.deadline_s)
+        task.attempt = run.attempt
+        task.step.ever_started = True
+        return StartOrder(
+            host=host.id,
+            task=task.id,
+            attempt=run.attempt,
+            payload=task.step.job.req.payload,
+            deadline_s=run.deadline_s,
+            checkpoint=task.checkpoint if checkpoint is None else checkpoint,
+            ticket=ticket,
+        )
+
+    def _look_at(self, step: Step) -> None:
+        """Look at a step at the next decision, though it may wait for tickets only."""
+        self._touched[step] = None
+        self.waiting.add(step, self._order(step))
+
+    def _questions(self, step: Step, usable: list[Host], now: float) -> list[Order]:
+        """Ask for what the step needs next: tickets for its reservations, else new hosts."""
+        approvals = step.approvals
+        cost = step.job.queue.advice
+        if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
+            return []
+        wanted = self._without_ticket(step, now)
+        if not wanted and step.waiting():
+            wanted = [host.id for host in usable if approvals.unknown(host.id)]
+        if not wanted:
+            return []
+        hosts = tuple(wanted[:HOSTS_PER_QUESTION])
+        approvals.asking.update(hosts)
+        return [AdviceOrder(step=step.id, hosts=hosts, cost=cost)]
+
+    def _without_ticket(self, step: Step, now: float) -> list[str]:
+        hosts = {
+            task.run.host
+            for task in step.tasks
+            if task.run is not None
+            and task.run.phase is RunPhase.RESERVED
+            and self._ticket(task.run, now) is None
+        }
+        return sorted(hosts)
+
+    def _give_up_reservations(self, now: float) -> None:
+        for step in self._reserving():
+            advice = step.job.queue.advice
+            longest = advice.duration_s(len(step.tasks)) if advice is not None else 0.0
+            for task in step.tasks:
+                run = task.run
+                if run is None or run.phase is not RunPhase.RESERVED:
+                    continue
+                host = self.tracker.hosts[run.host]
+                old = now > run.ordered_at + 2 * longest + RESERVATION_SLACK_S
+                if old or not host.takes_tasks(now):
+                    self.tracker.release(run)
+                    self._enqueue(step)
+
+    def _reserving(self) -> list[Step]:
+        return list(
+            {
+                run.task.step: None
+                for host in self.tracker.hosts.values()
+                for run in host.runs.values()
+                if run.phase is RunPhase.RESERVED
+            }
+        )
+
+    # ------------------------------------------------------------ ends
+
+    def _apply(self, outcomes: list[Outcome], now: float) -> None:
+        for outcome in outcomes:
+            self.notes.append(outcome)
+            match outcome:
+                case RunEnded():
+                    self._run_ended(outcome, now)
+                case RunRefused():
+                    self._run_refused(outcome, now)
+
+    def _run_ended(self, end: RunEnded, now: float) -> None:
+        task = end.task
+        job = task.step.job
+        if job.phase.final or task.done:
+            return
+        match end.how:
+            case EndKind.DONE if not task.step.req.lasting:
+                self._ejector.succeeded(end.host, job.id, now=now)
+                self._task_done(task, now)
+                return
+            case EndKind.FAILED:
+                hosts = len(self.tracker.hosts)
+                self._ejector.failed(end.host, job.id, now=now, hosts=hosts)
+                if self._count_failure(task, end.attempt):
+                    self._finish(job, JobPhase.FAILED, "a task failed too often")
+                    return
+            case _:
+                self._ejector.neither(end.host, job.id)
+        if end.how is not EndKind.LAPSED:
+            self._mark(job)
+        if task.step.req.gang:
+            self._stop_gang(task.step, end.attempt, "a member ended")
+        self._enqueue(task.step)
+
+    def _run_refused(self, refusal: RunRefused, now: float) -> None:
+        task = refusal.task
+        host = self.tracker.hosts.get(refusal.host)
+        if refusal.reason is Refusal.NO_TICKET:
+            task.step.approvals.tickets.pop(refusal.host, None)
+        elif refusal.reason in HOST_REFUSALS and host is not None:
+            host.blocked_until = max(host.blocked_until, now + REFUSED_PAUSE_S)
+        if task.step.job.phase.final or task.done:
+            return
+        self._ejector.neither(refusal.host, task.step.job.id)
+        if task.step.req.gang:
+            self._stop_gang(task.step, refusal.attempt, "a member was not started")
+        self._enqueue(task.step)
+
+    def _count_failure(self, task: Task, attempt: int) -> bool:
+        """Count a failed run; return whether the job has failed by it."""
+        step = task.step
+        if step.req.lasting:
+            return False
+        if step.req.gang:
+            # Members of one attempt may fail together; the gang has failed once.
+            if attempt != step.failed_attempt:
+                step.failed_attempt = attempt
+                step.failures += 1
+            return step.failures >= step.job.queue.attempts
+        task.failures += 1
+        return task.failures >= step.job.queue.attempts
+
+    def _task_done(self, task: Task, now: float) -> None:
+        step = task.step
+        job = step.job
+        # The end of one member of a gang stands for all.
+        for member in step.tasks if step.req.gang else [task]:
+            self._set_done(member)
+        self._mark(job)
+        if step.done:
+            self.waiting.discard(step)
+            self._open_steps(job, now)
+            self._finish_if_done(job)
+
+    def _set_done(self, task: Task) -> None:
+        if task.done:
+            return
+        task.done = True
+        task.step.done_count += 1
+        run = task.run
+        if run is None:
+            return
+        if run.phase is RunPhase.RESERVED:
+            self.tracker.release(run)
+        elif not task.step.req.gang:
+            self.tracker.stop(run, "the task is done")
+
+    def _stop_gang(self, step: Step, attempt: int, reason: str) -> None:
+        for task in step.tasks:
+            run = task.run
+            if run is None or run.attempt != attempt:
+                continue
+            if run.phase is RunPhase.RESERVED:
+                self.tracker.release(run)
+            else:
+                self.tracker.stop(run, reason)
+
+    def _settle_gangs(self) -> None:
+        """Break up gangs that an earlier owner left with only some members started."""
+        for job in self.jobs.values():
+            if not job.inherited:
+                continue
+            for step in job.steps():
+                attempts = {task.run.attempt for task in step.tasks if task.run is not None}
+                whole = len(attempts) == 1 and not step.waiting()
+                if step.req.gang and attempts and not whole:
+                    for attempt in attempts:
+                        self._stop_gang(step, attempt, "the gang was found incomplete")
+
+    def _stop_hung(self, host: Host, now: float) -> None:
+        for run in list(host.runs.values()):
+            if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
+                continue
+            if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
+                continue
+            if self._gang_gathers(run, now):
+                continue
+            host.blocked_until = max(host.blocked_until, now + HUNG_PAUSE_S)
+            self.tracker.stop(run, "no progress")
+
+    def _gang_gathers(self, run: Run, now: float) -> bool:
+        """Tell whether a gang's run may stand still since other members are not there yet."""
+        step = run.task.step
+        if not step.req.gang:
+            return False
+        runs = [task.run for task in step.tasks]
+        return any(
+            other is None or other.phase is not RunPhase.RUNNING or now - other.ordered_at < HUNG_S
+            for other in runs
+        )
+
+    # ------------------------------------------------------------ steps and jobs
+
+    def _step(self, id: StepId) -> Step | None:
+        job = self.jobs.get(id.job)
+        return job.step(id) if job is not None and not job.phase.final else None
+
+    def _make_due(self, job: Job, now: float, wall_s: float) -> None:
+        while job.next_occurrence < job.req.times:
+            number = job.next_occurrence
+            if wall_s < job.req.start_at_s + number * job.req.interval_s:
+                return
+            job.next_occurrence += 1
+            if number not in job.occurrences:
+                job.add_occurrence(number, now)
+
+    def _open_steps(self, job: Job, now: float) -> None:
+        """Let the steps wait for room whose earlier steps are done."""
+        if job.phase.final:
+            return
+        for occurrence in job.occurrences.values():
+            for step in occurrence.steps:
+                if step.ready_at is None and all(occurrence.steps[i].done for i in step.req.after):
+                    step.ready_at = now
+                    self._enqueue(step)
+
+    def _enqueue(self, step: Step) -> None:
+        if step.ready_at is None or step.job.phase.final or step.done:
+            return
+        self.waiting.add(step, self._order(step))
+        self._touched[step] = None
+
+    def _order(self, step: Step) -> Place:
+        job = step.job
+        return (job.queue.priority, job.arrived_at, job.id, step.id.occurrence, step.id.step)
+
+    def _note_start(self, job: Job) -> None:
+        if not job.started:
+            job.started = True
+            job.phase = JobPhase.RUNNING
+            self._mark(job)
+
+    def _finish_if_done(self, job: Job) -> None:
+        timed = job.req.times > 0
+        if job.phase.final or (timed and job.next_occurrence < job.req.times):
+            return
+        if job.occurrences and all(occurrence.done for occurrence in job.occurrences.values()):
+            self._finish(job, JobPhase.COMPLETE, "all tasks are done")
+
+    def _finish(self, job: Job, phase: JobPhase, reason: str) -> None:
+        job.phase = phase
+        for step in job.steps():
+            self.waiting.discard(step)
+        for run in job.runs():
+            if run.phase is RunPhase.RESERVED:
+                self.tracker.release(run)
+            elif not run.task.done:
+                self.tracker.stop(run, reason)
+        self._mark(job)
+
+    def _mark(self, job: Job) -> None:
+        self.dirty[job.id] = job
--- /dev/null
+++ b/rhubarbferry/dispatch/hosts.py
@@ -0,0 +1,128 @@
+"""The hosts as the owner of the work knows them: room, clock, task leases."""
+
+from __future__ import annotations
+
+from attrs import Factory, define, field, frozen
+
+from rhubarbferry.dispatch.job import Run
+from rhubarbferry.dispatch.messages import HostEntry, HostPhase, HostReport, Sizes, TaskId
+
+# A host's clock may run this much slower than ours, by the platform's word.
+CLOCK_DRIFT = 0.02
+# Added to a lapse that is worked out from clocks: the kill itself takes a moment.
+LAPSE_MARGIN_S = 0.3
+
+
+@frozen(kw_only=True, slots=True)
+class HostClock:
+    """One reading of a host's clock.
+
+    :param clock_s: what it showed when it answered.
+    :param sent_at: our time before the call was sent.
+    :param heard_at: our time when the answer arrived.
+    """
+
+    clock_s: float
+    sent_at: float
+    heard_at: float
+
+    def estimate(self, now: float) -> float:
+        """Return about what it shows now; it may show a little more, by the way back."""
+        return self.clock_s + now - self.heard_at
+
+    def surely(self, now: float) -> float:
+        """Return what it shows at least, even where it runs slow."""
+        return self.clock_s + (now - self.heard_at) * (1 - CLOCK_DRIFT)
+
+
+# A host that has not answered for this long gets no new tasks: it may be gone, or cut off. Looks
+# at a host last up to 0.7 s, and the answer takes up to 0.1 s.
+SILENT_S = 1.5
+
+RunKey = tuple[TaskId, int]
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Host:
+    """One life of a host.
+
+    :param listed: whether the host list shows it.
+    :param adopted: whether it has answered under the present owner's fence number. Before
+        that an earlier owner's orders may still be carried out, so it gets no tasks.
+    :param held_until_s: on its own clock, the end of the task leases that were asked for.
+    :param seen_end: highest number of an end that has been worked in.
+    :param recorded_end: highest number whose ends stand in the store.
+    :param blocked_until: it gets no new tasks before this time.
+    :param was_open: whether it took tasks at the last decision.
+    """
+
+    entry: HostEntry
+    listed: bool = True
+    adopted: bool = False
+    used: Sizes = field(factory=Sizes)
+    runs: dict[RunKey, Run] = Factory(dict)
+    clock: HostClock | None = None
+    held_until_s: float = 0.0
+    seen_end: int = 0
+    recorded_end: int = 0
+    heard_at: float = 0.0
+    blocked_until: float = 0.0
+    was_open: bool = False
+
+    @property
+    def id(self) -> str:
+        """Its id in the host list."""
+        return self.entry.id
+
+    @property
+    def room(self) -> Sizes:
+        """What is left of its capacity."""
+        return self.entry.capacity.minus(self.used)
+
+    def takes_tasks(self, now: float) -> bool:
+        """Tell whether it may get a task now."""
+        return (
+            self.listed
+            and self.adopted
+            and self.clock is not None
+            and self.entry.phase is HostPhase.READY
+            and now >= self.blocked_until
+            and now - self.heard_at < SILENT_S
+        )
+
+    def hold(self, now: float, hold_s: float) -> float | None:
+        """Return the time on its clock until which its task leases are to run.
+
+        ``None`` before its clock is known. What is returned counts as ordered from here on,
+        since a call without an answer may have been carried out.
+        """
+        if self.clock is None:
+            return None
+        until = self.clock.estimate(now) + hold_s
+        self.held_until_s = max(self.held_until_s, until)
+        return until
+
+    def add(self, run: Run) -> None:
+        """Count a run against the room."""
+        self.runs[(run.task.id, run.attempt)] = run
+        self.used = self.used.plus(run.task.step.req.room)
+
+    def remove(self, run: Run) -> None:
+        """Give the room of a run back."""
+        if self.runs.pop((run.task.id, run.attempt), None) is not None:
+            self.used = self.used.minus(run.task.step.req.room)
+
+    def heard(self, report: HostReport, *, sent_at: float, now: float) -> None:
+        """Note that it answered."""
+        self.heard_at = now
+        self.clock = HostClock(clock_s=report.clock_s, sent_at=sent_at, heard_at=now)
+
+    def leases_lapsed(self, now: float) -> bool:
+        """Tell whether nothing that was ordered here can be running any more.
+
+        A host that has gone silent may be cut off and run on. Its tasks may start elsewhere
+        only once their leases have ended by its own clock, or a task would run twice.
+        """
+        if self.clock is None:
+            return False
+        return self.clock.surely(now) > self.held_until_s + LAPSE_MARGIN_S
--- /dev/null
+++ b/rhubarbferry/dispatch/job.py
@@ -0,0 +1,202 @@
+"""The state of a job while it is being worked on."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from attrs import Factory, define, field
+
+from rhubarbferry.dispatch.approvals import StepApprovals
+from rhubarbferry.dispatch.messages import JobRequest, Queue, StepId, StepRequest, TaskId
+
+
+class JobPhase(StrEnum):
+    """What a client is told about its job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Whether the job will not change any more."""
+        return self in (JobPhase.COMPLETE, JobPhase.FAILED, JobPhase.CANCELLED)
+
+
+class RunPhase(StrEnum):
+    """How far one run of a task is.
+
+    RESERVED holds room while a ticket is fetched. UNCLEAR is a run whose start was not
+    answered: it may run, or may yet start, so it keeps its room until the host's own word
+    settles it.
+    """
+
+    RESERVED = "reserved"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    UNCLEAR = "unclear"
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Run:
+    """One attempt of a task on one host.
+
+    :param deadline_s: on the host's clock; an order that is carried out later is refused.
+    :param percent: progress as last reported.
+    :param progress_at: when ``percent`` last rose.
+    """
+
+    task: Task
+    attempt: int
+    host: str
+    phase: RunPhase
+    ordered_at: float
+    deadline_s: float = 0.0
+    percent: float = 0.0
+    progress_at: float = 0.0
+    stopping: bool = False
+    stop_sent_at: float | None = None
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Task:
+    """One task: what is recorded of it, and its run if it has one.
+
+    :param attempt: highest number that a run of it has used.
+    :param failures: runs that ended through a failure.
+    :param checkpoint: where the next run resumes, empty for the start.
+    """
+
+    id: TaskId
+    step: Step = field(repr=False)
+    attempt: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    done: bool = False
+    run: Run | None = None
+
+    @property
+    def waits(self) -> bool:
+        """Whether it has neither ended nor a run."""
+        return not self.done and self.run is None
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Step:
+    """One step of one occurrence.
+
+    :param failures: of the whole gang, where the step is one.
+    :param failed_attempt: the gang's attempt that was counted last.
+    :param ready_at: when the steps before it were done, ``None`` before that.
+    """
+
+    job: Job = field(repr=False)
+    id: StepId
+    req: StepRequest
+    tasks: list[Task] = Factory(list)
+    failures: int = 0
+    failed_attempt: int = 0
+    ready_at: float | None = None
+    done_count: int = 0
+    ever_started: bool = False
+    approvals: StepApprovals = Factory(StepApprovals)
+
+    @property
+    def done(self) -> bool:
+        """Whether all its tasks have ended well."""
+        return self.done_count == len(self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that have neither ended nor a run."""
+        return [task for task in self.tasks if task.waits]
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Occurrence:
+    """One time that the steps of a job run."""
+
+    number: int
+    steps: list[Step]
+
+    @property
+    def done(self) -> bool:
+        """Whether all its steps are done."""
+        return all(step.done for step in self.steps)
+
+
+@define(kw_only=True, eq=False, slots=True)
+class Job:
+    """A job that has not ended.
+
+    :param created_revision: the store's revision that holds its acceptance.
+    :param record_revision: the store's revision of its state record, to write it under a
+        condition.
+    :param inherited: accepted before the present owner took over, so an earlier owner may
+        have started any of its tasks.
+    :param first_attempt: lowest attempt number that no earlier owner can have used.
+    """
+
+    req: JobRequest
+    queue: Queue
+    arrived_at: float
+    created_revision: int
+    record_revision: int
+    inherited: bool = False
+    first_attempt: int = 1
+    phase: JobPhase = JobPhase.QUEUED
+    occurrences: dict[int, Occurrence] = Factory(dict)
+    next_occurrence: int = 0
+    started: bool = False
+
+    @property
+    def id(self) -> str:
+        """The id that the client chose."""
+        return self.req.id
+
+    def add_occurrence(self, number: int, now: float) -> Occurrence:
+        """Make the tasks of one occurrence."""
+        steps = [
+            make_step(self, StepId(job=self.id, occurrence=number, step=index), req)
+            for index, req in enumerate(self.req.steps)
+        ]
+        occurrence = Occurrence(number=number, steps=steps)
+        self.occurrences[number] = occurrence
+        return occurrence
+
+    def task(self, id: TaskId) -> Task | None:
+        """Return one of its tasks, or ``None`` if there is none of that name."""
+        occurrence = self.occurrences.get(id.occurrence)
+        if occurrence is None or id.step >= len(occurrence.steps):
+            return None
+        tasks = occurrence.steps[id.step].tasks
+        return tasks[id.index] if id.index < len(tasks) else None
+
+    def step(self, id: StepId) -> Step | None:
+        """Return one of its steps, or ``None`` if there is none of that name."""
+        occurrence = self.occurrences.get(id.occurrence)
+        if occurrence is None or id.step >= len(occurrence.steps):
+            return None
+        return occurrence.steps[id.step]
+
+    def steps(self) -> list[Step]:
+        """Return the steps of all occurrences that have been made."""
+        return [step for occurrence in self.occurrences.values() for step in occurrence.steps]
+
+    def runs(self) -> list[Run]:
+        """Return all runs of its tasks."""
+        return [task.run for step in self.steps() for task in step.tasks if task.run is not None]
+
+
+def make_step(job: Job, id: StepId, req: StepRequest) -> Step:
+    """Return a step with its tasks."""
+    step = Step(job=job, id=id, req=req)
+    step.tasks = [
+        Task(
+            id=TaskId(job=id.job, occurrence=id.occurrence, step=id.step, index=index),
+            step=step,
+        )
+        for index in range(req.count)
+    ]
+    return step
--- /dev/null
+++ b/rhubarbferry/dispatch/placement.py
@@ -0,0 +1,112 @@
+"""Choose hosts for the waiting tasks of one step."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from attrs import frozen
+
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Step, Task
+from rhubarbferry.dispatch.messages import Sizes
+
+# Preference for a host in another rack than the data, against packing: a task there takes
+# several times as long, which no packing makes up for.
+FAR_PENALTY = 1_000_000
+
+
+@frozen(kw_only=True, slots=True)
+class Placed:
+    """A task and the host it goes to."""
+
+    task: Task
+    host: Host
+
+
+def could_run(step: Step, host: Host) -> bool:
+    """Tell whether a host of the right pool could ever hold a task of the step."""
+    req = step.req
+    if host.entry.service != step.job.queue.service:
+        return False
+    if req.required_label and req.required_label not in host.entry.labels:
+        return False
+    return req.room.fits(host.entry.capacity)
+
+
+def slots_on(step: Step, host: Host, room: Sizes) -> int:
+    """Return how many more tasks of the step a host can take within ``room``."""
+    need = step.req.room
+    bounds = []
+    if need.millicores:
+        bounds.append(room.millicores // need.millicores)
+    if need.memory_mb:
+        bounds.append(room.memory_mb // need.memory_mb)
+    if need.accelerators:
+        bounds.append(room.accelerators // need.accelerators)
+    if step.req.max_per_host:
+        bounds.append(step.req.max_per_host - tasks_on(step, host))
+    return max(0, min(bounds, default=len(step.tasks)))
+
+
+def tasks_on(step: Step, host: Host) -> int:
+    """Return how many tasks of the step a host has."""
+    return sum(1 for task in step.tasks if task.run is not None and task.run.host == host.id)
+
+
+def place(step: Step, hosts: Iterable[Host], *, slowness: Callable[[Host], float]) -> list[Placed]:
+    """Return hosts for as many waiting tasks as there is room for.
+
+    A gang gets hosts for all its tasks or none.
+
+    :param hosts: those that may run the step.
+    :param slowness: how many times as long work takes on a host.
+    """
+    open_hosts = [(host, slots_on(step, host, host.room)) for host in hosts]
+    open_hosts = [(host, slots) for host, slots in open_hosts if slots > 0]
+    waiting = step.waiting()
+    if step.req.gang:
+        return _place_gang(step, waiting, open_hosts)
+    open_hosts.sort(key=lambda pair: _rank(step, pair[0], slowness))
+    return _fill(waiting, open_hosts)
+
+
+def _rank(step: Step, host: Host, slowness: Callable[[Host], float]) -> tuple[float, float, str]:
+    far = bool(step.req.near_rack) and step.req.near_rack not in host.entry.labels
+    left = host.room.millicores - step.req.room.millicores
+    return (FAR_PENALTY if far else 0) + slowness(host), left, host.id
+
+
+def _fill(waiting: list[Task], open_hosts: list[tuple[Host, int]]) -> list[Placed]:
+    placed: list[Placed] = []
+    tasks = iter(waiting)
+    for host, slots in open_hosts:
+        for _ in range(slots):
+            task = next(tasks, None)
+            if task is None:
+                return placed
+            placed.append(Placed(task=task, host=host))
+    return placed
+
+
+def _place_gang(
+    step: Step, waiting: list[Task], open_hosts: list[tuple[Host, int]]
+) -> list[Placed]:
+    if len(waiting) < len(step.tasks):
+        # Some member still has a run; the members of a gang begin together or not at all.
+        return []
+    if step.req.one_rack:
+        for rack in _racks(open_hosts):
+            if sum(slots for _, slots in rack) >= len(waiting):
+                return _fill(waiting, rack)
+    if sum(slots for _, slots in open_hosts) < len(waiting):
+        return []
+    # Hosts with much room first: fewer hosts, so fewer failures that break the whole gang.
+    open_hosts.sort(key=lambda pair: (-pair[1], pair[0].id))
+    return _fill(waiting, open_hosts)
+
+
+def _racks(open_hosts: list[tuple[Host, int]]) -> list[list[tuple[Host, int]]]:
+    racks: dict[tuple[str, ...], list[tuple[Host, int]]] = {}
+    for host, slots in open_hosts:
+        racks.setdefault(host.entry.labels[1:], []).append((host, slots))
+    return sorted(racks.values(), key=lambda rack: -sum(slots for _, slots in rack))
--- /dev/null
+++ b/rhubarbferry/dispatch/tracker.py
@@ -0,0 +1,371 @@
+"""Keep the runs of tasks in step with what hosts say, or have failed to say."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container
+
+from attrs import Factory, define, evolve, frozen
+
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Job, Run, RunPhase, Task
+from rhubarbferry.dispatch.messages import (
+    EndedTask,
+    EndKind,
+    HostEntry,
+    HostReport,
+    OrderResult,
+    Refusal,
+    Refused,
+    RunningTask,
+    Started,
+    StopOrder,
+    TaskId,
+    Unanswered,
+)
+
+# Hosts list at most this many ends in one report; a longer list goes on in the next.
+ENDS_PER_REPORT = 500
+# A stop is sent again while the host still lists the run; one answer may have been lost.
+STOP_AGAIN_S = 0.7
+# A host that answered an order late or not at all gets no new tasks for this long, so that one
+# bad host does not take every task that is tried there.
+UNANSWERED_PAUSE_S = 1.0
+
+
+@frozen(kw_only=True, slots=True)
+class RunEnded:
+    """A run is over, for sure.
+
+    :param host: where it was.
+    :param detail: for the log.
+    """
+
+    task: Task
+    attempt: int
+    how: EndKind
+    host: str
+    detail: str = ""
+
+
+@frozen(kw_only=True, slots=True)
+class RunRefused:
+    """A start was refused: the task has not run under this attempt and won't.
+
+    :param reason: the host's word; ``None`` where this process gave the start up by itself.
+    """
+
+    task: Task
+    attempt: int
+    host: str
+    reason: Refusal | None
+    detail: str
+
+
+Outcome = RunEnded | RunRefused
+
+
+@define(kw_only=True, eq=False)
+class Tracker:
+    """Hosts and what runs on them.
+
+    :param jobs: the jobs that have not ended, by id.
+    :ivar stops: orders to stop runs, to be taken by the caller.
+    :ivar changed: hosts whose room or state has changed since the last look.
+    """
+
+    jobs: dict[str, Job]
+    hosts: dict[str, Host] = Factory(dict)
+    stops: list[StopOrder] = Factory(list)
+    changed: set[str] = Factory(set)
+
+    # ------------------------------------------------------------ the host list
+
+    def host_listed(self, entry: HostEntry) -> list[Outcome]:
+        """Take in an entry of the host list."""
+        host = self.hosts.get(entry.id)
+        if host is None:
+            self.hosts[entry.id] = Host(entry=entry)
+            self.changed.add(entry.id)
+            return []
+        outcomes = []
+        if entry.incarnation > host.entry.incarnation:
+            outcomes = self._reborn(host, entry)
+        elif entry.incarnation == host.entry.incarnation and entry != host.entry:
+            host.entry = entry
+            self.changed.add(entry.id)
+        host.listed = True
+        return outcomes
+
+    def host_unlisted(self, id: str) -> None:
+        """Note that the host list no longer shows a host; it may still run its tasks."""
+        self.hosts[id].listed = False
+
+    def host_gone(self, host: Host) -> list[Outcome]:
+        """Note that a host's life is over: another one answers at its address."""
+        host.listed = False
+        host.clock = None
+        return [
+            self._over(host, run, EndKind.LAPSED, "the host's life has ended")
+            for run in list(host.runs.values())
+        ]
+
+    def _reborn(self, host: Host, entry: HostEntry) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        for run in list(host.runs.values()):
+            if run.phase in (RunPhase.RUNNING, RunPhase.RESERVED):
+                outcomes.append(self._over(host, run, EndKind.LAPSED, "the host started anew"))
+                continue
+            # The order may be carried out by the new life as well, whose clock starts anew:
+            # only a stop that the new life has answered rules that out.
+            run.phase = RunPhase.UNCLEAR
+            run.deadline_s = math.inf
+            self.stop(run, "its host started anew")
+        host.entry = entry
+        host.clock = None
+        host.adopted = False
+        host.seen_end = host.recorded_end = 0
+        host.held_until_s = 0.0
+        self.changed.add(host.id)
+        return outcomes
+
+    # ------------------------------------------------------------ reports of hosts
+
+    def reported(
+        self, host: Host, report: HostReport, *, sent_at: float, now: float
+    ) -> list[Outcome]:
+        """Work in what a host lists."""
+        outcomes: list[Outcome] = []
+        if report.incarnation != host.entry.incarnation:
+            if report.incarnation < host.entry.incarnation:
+                return []
+            # The host list lags behind: the host itself is the first to show a new life.
+            entry = evolve(host.entry, incarnation=report.incarnation)
+            outcomes += self._reborn(host, entry)
+        if host.clock is not None and report.clock_s < host.clock.clock_s:
+            # An answer that was overtaken by a later one on another connection.
+            return outcomes
+        host.heard(report, sent_at=sent_at, now=now)
+        if not host.adopted:
+            host.adopted = True
+            self.changed.add(host.id)
+        for ended in report.ended:
+            if ended.number > host.seen_end:
+                host.seen_end = ended.number
+                outcomes += self._ended(host, ended)
+        listed = set()
+        for running in report.running:
+            listed.add((running.task, running.attempt))
+            outcomes += self._running(host, running, report, now)
+        outcomes += self._settle_unlisted(host, report, listed, now)
+        return outcomes
+
+    def _ended(self, host: Host, ended: EndedTask) -> list[Outcome]:
+        run = host.runs.get((ended.task, ended.attempt))
+        if run is not None:
+            return [self._over(host, run, ended.how, "", checkpoint=ended.checkpoint)]
+        task = self.task(ended.task)
+        if task is None:
+            return []
+        if ended.checkpoint and not task.done:
+            task.checkpoint = ended.checkpoint
+        return [RunEnded(task=task, attempt=ended.attempt, how=ended.how, host=host.id)]
+
+    def _running(
+        self, host: Host, running: RunningTask, report: HostReport, now: float
+    ) -> list[Outcome]:
+        run = host.runs.get((running.task, running.attempt))
+        if run is None:
+            return self._found(host, running, report, now)
+        if run.phase is not RunPhase.RUNNING:
+            run.phase = RunPhase.RUNNING
+            run.progress_at = now
+        run.deadline_s = report.clock_s
+        if running.percent > run.percent or running.percent < run.percent:
+            run.percent = running.percent
+            run.progress_at = now
+        if running.checkpoint and not run.stopping:
+            run.task.checkpoint = running.checkpoint
+        if run.stopping:
+            self._stop_again(run, now)
+        return []
+
+    def _found(
+        self, host: Host, running: RunningTask, report: HostReport, now: float
+    ) -> list[Outcome]:
+        """Take on a run that an earlier owner started, or that was started late."""
+        task = self.task(running.task)
+        if task is None:
+            self.stops.append(
+                StopOrder(
+                    host=host.id,
+                    task=running.task,
+                    attempt=running.attempt,
+                    reason="its job has ended or is unknown",
+                )
+            )
+            return []
+        run = Run(
+            task=task,
+            attempt=running.attempt,
+            host=host.id,
+            phase=RunPhase.RUNNING,
+            ordered_at=now,
+            deadline_s=report.clock_s,
+            percent=running.percent,
+            progress_at=now,
+        )
+        host.add(run)
+        task.attempt = max(task.attempt, running.attempt)
+        task.step.ever_started = True
+        outcomes: list[Outcome] = []
+        other = task.run
+        if other is not None and other.phase is RunPhase.RESERVED:
+            outcomes.append(self._drop(other, "a run of the task was found"))
+            other = None
+        if task.done or (other is not None and other.attempt >= run.attempt):
+            self.stop(run, "another run of the task counts")
+        else:
+            if other is not None:
+                self.stop(other, "a later run of the task was found")
+            task.run = run
+        if running.checkpoint and not task.done:
+            task.checkpoint = running.checkpoint
+        return outcomes
+
+    def _settle_unlisted(
+        self, host: Host, report: HostReport, listed: set[tuple[TaskId, int]], now: float
+    ) -> list[Outcome]:
+        """End the runs that the host does not list and will not start any more."""
+        if len(report.ended) >= ENDS_PER_REPORT:
+            return []
+        outcomes: list[Outcome] = []
+        for key, run in list(host.runs.items()):
+            if key in listed or run.phase is RunPhase.RESERVED:
+                continue
+            # `deadline_s` is the host's time from which on an order for this run is refused,
+            # or at which it was known to run. A list made after that settles it.
+            if run.phase is not RunPhase.ORDERED and report.clock_s > run.deadline_s:
+                how = "not started in time" if run.phase is RunPhase.UNCLEAR else "not listed"
+                outcomes.append(self._over(host, run, EndKind.LAPSED, how))
+            elif run.stopping:
+                self._stop_again(run, now)
+        return outcomes
+
+    # ------------------------------------------------------------ answers to orders
+
+    def start_answered(
+        self, host: Host, run: Run, result: OrderResult, *, now: float
+    ) -> list[Outcome]:
+        """Work in the answer to a start."""
+        if host.runs.get((run.task.id, run.attempt)) is not run:
+            return []
+        match result:
+            case Started(clock_s=clock_s):
+                if run.phase is not RunPhase.RUNNING:
+                    run.phase = RunPhase.RUNNING
+                    run.deadline_s = clock_s
+                    run.progress_at = now
+                return []
+            case Refused(reason=reason):
+                if run.phase is RunPhase.RUNNING:
+                    return []
+                run.phase = RunPhase.RESERVED
+                host.remove(run)
+                self.changed.add(host.id)
+                if run.task.run is run:
+                    run.task.run = None
+                return [
+                    RunRefused(
+                        task=run.task,
+                        attempt=run.attempt,
+                        host=host.id,
+                        reason=reason,
+                        detail=reason.value,
+                    )
+                ]
+            case Unanswered():
+                if run.phase is RunPhase.ORDERED:
+                    run.phase = RunPhase.UNCLEAR
+                    host.blocked_until = now + UNANSWERED_PAUSE_S
+                return []
+
+    def stop_answered(self, host: Host, run_key: tuple[TaskId, int], clock_s: float) -> None:
+        """Note that a host took a stop: from now on it refuses to start that run."""
+        run = host.runs.get(run_key)
+        if run is not None and run.phase is RunPhase.UNCLEAR:
+            run.deadline_s = min(run.deadline_s, clock_s)
+
+    # ------------------------------------------------------------ time
+
+    def lapse(self, now: float, *, keep: Container[str] = ()) -> list[Outcome]:
+        """End the runs whose task leases must be over, and forget hosts that have gone.
+
+        :param keep: hosts that must be heard of, though the host list does not show them.
+        """
+        outcomes: list[Outcome] = []
+        for host in list(self.hosts.values()):
+            if host.clock is not None and host.leases_lapsed(now):
+                host.clock = None
+                for run in list(host.runs.values()):
+                    outcomes.append(
+                        self._over(host, run, EndKind.LAPSED, "the host is silent past its leases")
+                    )
+            gone = not host.listed and host.clock is None and not host.runs
+            if gone and host.id not in keep:
+                del self.hosts[host.id]
+        return outcomes
+
+    # ------------------------------------------------------------ runs
+
+    def task(self, id: TaskId) -> Task | None:
+        """Return a task of a job that has not ended."""
+        job = self.jobs.get(id.job)
+        if job is None or job.phase.final:
+            return None
+        return job.task(id)
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Order a run to be stopped; it keeps its room until the host lists its end."""
+        if run.stopping:
+            return
+        run.stopping = True
+        self._send_stop(run, reason)
+
+    def release(self, run: Run) -> None:
+        """Give up a reservation."""
+        self._drop(run, "reservation given up")
+
+    def _stop_again(self, run: Run, now: float) -> None:
+        if run.stop_sent_at is None:
+            run.stop_sent_at = now
+        elif now - run.stop_sent_at >= STOP_AGAIN_S:
+            run.stop_sent_at = now
+            self._send_stop(run, "still listed after a stop")
+
+    def _send_stop(self, run: Run, reason: str) -> None:
+        self.stops.append(
+            StopOrder(host=run.host, task=run.task.id, attempt=run.attempt, reason=reason)
+        )
+
+    def _drop(self, run: Run, detail: str) -> RunRefused:
+        host = self.hosts[run.host]
+        host.remove(run)
+        self.changed.add(host.id)
+        if run.task.run is run:
+            run.task.run = None
+        return RunRefused(
+            task=run.task, attempt=run.attempt, host=host.id, reason=None, detail=detail
+        )
+
+    def _over(
+        self, host: Host, run: Run, how: EndKind, detail: str, *, checkpoint: str = ""
+    ) -> RunEnded:
+        host.remove(run)
+        self.changed.add(host.id)
+        task = run.task
+        if task.run is run:
+            task.run = None
+        if checkpoint and not task.done:
+            task.checkpoint = checkpoint
+        return RunEnded(task=task, attempt=run.attempt, how=how, host=host.id, detail=detail)
--- /dev/null
+++ b/rhubarbferry/dispatch/waiting.py
@@ -0,0 +1,73 @@
+"""The steps that wait for room, found without a look at those that can't fit."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+
+from attrs import Factory, define
+from sortedcontainers import SortedKeyList
+
+from rhubarbferry.dispatch.job import Step
+
+Order = tuple[float, float, str, int, int]
+
+
+def _size_class(step: Step) -> int:
+    return step.req.room.millicores.bit_length()
+
+
+@define(kw_only=True, eq=False, slots=True)
+class WaitingSteps:
+    """Waiting steps by order, in classes of size.
+
+    With a backlog most of what waits does not fit into the room that has just come free. The
+    classes (powers of two of the processor that one task needs) let a look for the next step
+    skip these without touching them, so that it does not grow with the backlog.
+    """
+
+    _classes: dict[int, SortedKeyList] = Factory(dict)
+    _orders: dict[Step, Order] = Factory(dict)
+
+    def add(self, step: Step, order: Order) -> None:
+        """Add a step, or move it to a new place."""
+        if self._orders.get(step) == order:
+            return
+        self.discard(step)
+        self._orders[step] = order
+        steps = self._classes.get(_size_class(step))
+        if steps is None:
+            steps = SortedKeyList(key=self._orders.__getitem__)
+            self._classes[_size_class(step)] = steps
+        steps.add(step)
+
+    def discard(self, step: Step) -> None:
+        """Remove a step if it is there."""
+        if step in self._orders:
+            self._classes[_size_class(step)].remove(step)
+            del self._orders[step]
+
+    def __contains__(self, step: Step) -> bool:
+        return step in self._orders
+
+    def __len__(self) -> int:
+        return len(self._orders)
+
+    def order(self, step: Step) -> Order:
+        """Return the place of a step."""
+        return self._orders[step]
+
+    def in_order(self, *, millicores: int | None = None) -> Iterator[Step]:
+        """Yield the steps in order.
+
+        :param millicores: leave out the classes whose smallest task needs more than this.
+        """
+        classes = [
+            steps
+            for bits, steps in self._classes.items()
+            if steps and (millicores is None or bits == 0 or 1 << (bits - 1) <= millicores)
+        ]
+        if len(classes) == 1:
+            yield from classes[0]
+            return
+        yield from heapq.merge(*classes, key=self._orders.__getitem__)
--- /dev/null
+++ b/rhubarbferry/platform/configuration.py
@@ -0,0 +1,71 @@
+"""The operator's configuration, decoded once for each revision."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from loguru import logger
+
+from rhubarbferry.cell.routes import Limits, Route, RouteTable
+from rhubarbferry.dispatch.messages import AdviceCost, Queue
+
+KEY = "op/config"
+
+
+class ConfigurationError(Exception):
+    """The value is no configuration. The one before stays in force."""
+
+
+def decode_configuration(value: bytes, *, revision: int) -> RouteTable:
+    """Translate a configuration; a route that is not understood is left out with a log line.
+
+    :raises ConfigurationError: when the value as a whole is not understood.
+    """
+    try:
+        body = json.loads(value)
+        version = int(body["version"])
+        entries = list(body["routes"])
+        limits = body.get("limits", {})
+    except (ValueError, TypeError, KeyError) as exc:
+        raise ConfigurationError(f"no configuration: {exc!r}") from exc
+    routes = [route for entry in entries if (route := _route_or_none(entry)) is not None]
+    return RouteTable(
+        version=version,
+        revision=revision,
+        routes=routes,
+        limits=Limits(
+            body_bytes=int(limits.get("maxBodyBytes", Limits.body_bytes_default)),
+            idle_s=float(limits.get("idleTimeoutMs", 15000)) / 1000,
+        ),
+    )
+
+
+def _route_or_none(entry: Any) -> Route | None:
+    try:
+        return _route(entry)
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        logger.warning("a route is not understood and left out: {!r}", exc)
+        return None
+
+
+def _route(entry: Any) -> Route:
+    # The platform calls the policy's cost "advisor"; the policy's address is in the settings.
+    cost = entry.get("advisor")
+    advice = None
+    if cost:
+        advice = AdviceCost(
+            decision_s=float(cost["decisionMs"]) / 1000,
+            per_host_s=float(cost["perWorkerMs"]) / 1000,
+            valid_s=float(cost["validMs"]) / 1000,
+        )
+    queue = Queue(
+        name=str(entry["name"]),
+        service=str(entry["service"]),
+        priority=int(entry.get("priority", 0)),
+        attempts=max(1, int(entry.get("attempts", 1))),
+        slack_factor=float(entry.get("slackFactor", 1.0)),
+        objective_s=float(entry.get("sloMs", 0)) / 1000,
+        advice=advice,
+    )
+    return Route(host=str(entry["host"]).lower(), prefix=str(entry["prefix"]), queue=queue)
--- /dev/null
+++ b/rhubarbferry/platform/http.py
@@ -0,0 +1,128 @@
+"""JSON over HTTP/1.1 to the platform's services, with a time limit on each call."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from attrs import define, frozen
+
+# Connections stay open between calls, since a new one is paid for and takes a round trip more.
+KEEP_OPEN_S = 30.0
+# Connections to one address at a time; runners allow 64 from all callers together.
+MAX_PER_ADDRESS = 32
+
+
+class NotSent(Exception):
+    """No connection was made, so the call has had no effect."""
+
+
+class NoAnswer(Exception):
+    """The call went out and no whole answer came: it may have had effect, or may yet."""
+
+
+@frozen(kw_only=True, slots=True)
+class Answer:
+    """An answer that came whole.
+
+    :param body: the decoded JSON body; ``None`` when it is empty or no JSON.
+    """
+
+    status: int
+    body: Any
+    headers: Any
+
+
+@define(slots=True)
+class _Progress:
+    connected: bool = False
+
+
+async def _note_connected(
+    _session: aiohttp.ClientSession, ctx: SimpleNamespace, _params: object
+) -> None:
+    if isinstance(ctx.trace_request_ctx, _Progress):
+        ctx.trace_request_ctx.connected = True
+
+
+def _trace() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_note_connected)
+    trace.on_connection_reuseconn.append(_note_connected)
+    return trace
+
+
+class JsonClient:
+    """Calls of one process to one kind of service."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout_s: float,
+        body: Any = None,
+        query: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send one request and return its answer.
+
+        A connection may go silent for good without a reset. The time limit ends such a call,
+        and its connection is dropped with it, so the next call opens a new one.
+
+        :raises NotSent: when no connection could be made in time.
+        :raises NoAnswer: when anything went wrong after that.
+        """
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, limit_per_host=MAX_PER_ADDRESS, keepalive_timeout=KEEP_OPEN_S
+                ),
+                timeout=aiohttp.ClientTimeout(total=None),
+                trace_configs=[_trace()],
+                auto_decompress=False,
+                skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+            )
+        data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
+        sent_headers = dict(headers or {})
+        if data is not None:
+            sent_headers["Content-Type"] = "application/json"
+        progress = _Progress()
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.request(
+                    method,
+                    url,
+                    data=data,
+                    params=query,
+                    headers=sent_headers,
+                    trace_request_ctx=progress,
+                ) as resp,
+            ):
+                payload = await resp.read()
+                return Answer(status=resp.status, body=_decoded(payload), headers=resp.headers)
+        except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError) as exc:
+            if progress.connected:
+                raise NoAnswer(f"{method} {url}: {exc!r}") from exc
+            raise NotSent(f"{method} {url}: {exc!r}") from exc
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+
+def _decoded(payload: bytes) -> Any:
+    if not payload:
+        return None
+    try:
+        return json.loads(payload)
+    except ValueError:
+        return None
--- /dev/null
+++ b/rhubarbferry/platform/names.py
@@ -0,0 +1,24 @@
+"""How the platform names tasks and steps."""
+
+from __future__ import annotations
+
+from rhubarbferry.dispatch.messages import StepId, TaskId
+
+
+def task_name(id: TaskId) -> str:
+    """Return the name of a task."""
+    return f"{id.job}.{id.occurrence}.{id.step}.{id.index}"
+
+
+def step_name(id: StepId) -> str:
+    """Return the name of a step."""
+    return f"{id.job}.{id.occurrence}.{id.step}"
+
+
+def parse_task(name: str) -> TaskId:
+    """Read the name of a task.
+
+    :raises ValueError: when it is none.
+    """
+    job, occurrence, step, index = name.split(".")
+    return TaskId(job=job, occurrence=int(occurrence), step=int(step), index=int(index))
--- /dev/null
+++ b/rhubarbferry/platform/process.py
@@ -0,0 +1,203 @@
+"""One process of a cell on the platform: wire the parts together and run them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+
+from attrs import define, field
+from loguru import logger
+
+from rhubarbferry.cell.acceptance import Acceptance
+from rhubarbferry.cell.candidate import Candidate
+from rhubarbferry.cell.configuration import ConfigurationFeed
+from rhubarbferry.cell.context import Surroundings
+from rhubarbferry.cell.lease import LeaseKeeper
+from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.cell.members import CellView, Member
+from rhubarbferry.cell.peers import PeerClient, PeerServer
+from rhubarbferry.cell.routes import RouteTable
+from rhubarbferry.platform.client_api import ClientApi
+from rhubarbferry.platform.configuration import KEY as CONFIGURATION_KEY
+from rhubarbferry.platform.configuration import ConfigurationError, decode_configuration
+from rhubarbferry.platform.directory import PlatformDirectory
+from rhubarbferry.platform.health_api import build_app
+from rhubarbferry.platform.policy import PlatformPolicy
+from rhubarbferry.platform.serving import serve
+from rhubarbferry.platform.settings import SETTINGS_VARIABLE, ProcessFile, SettingsFileError, load
+from rhubarbferry.platform.store import PlatformStore
+from rhubarbferry.platform.workers import PlatformWorkers
+from rhubarbferry.ports.clock import SystemClock
+
+# Without an answer of the store for this long a process can serve nobody; others may be able to.
+STORE_SILENCE_S = 2.0
+# After SIGTERM the balancer needs two of its checks, a second apart, to send clients elsewhere.
+LEAVE_ROTATION_S = 2.6
+# Left of the grace time for the process to end by itself.
+EXIT_RESERVE_S = 1.0
+# Between two looks at the settings file, which may change without a signal.
+SETTINGS_LOOK_S = 2.0
+# A count is asked of the owner at most this often for each queue; it may be 2 s old.
+PENDING_AGE_S = 0.4
+
+
+@define(kw_only=True, eq=False)
+class Signals:
+    """Signals that came in, from the moment the process could take any."""
+
+    stop: asyncio.Event = field(factory=asyncio.Event)
+    reload: asyncio.Event = field(factory=asyncio.Event)
+
+
+@define(kw_only=True, eq=False, slots=False)
+class Process:
+    """The parts of one process."""
+
+    file: ProcessFile
+    log: EventLog
+    signals: Signals
+    clock: SystemClock = field(factory=SystemClock)
+    view: CellView = field(factory=CellView)
+    leaving: bool = False
+    _counts: dict[str, tuple[float, int]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        cfg = self.file.cell
+        addresses = self.file.addresses
+        own = Member(
+            name=cfg.member,
+            address=addresses.peers,
+            region=cfg.region,
+            failure_domain=cfg.failure_domain,
+        )
+        self.store = PlatformStore(address=addresses.store)
+        self.feed = ConfigurationFeed(
+            clock=self.clock,
+            store=self.store,
+            log=self.log,
+            key=CONFIGURATION_KEY,
+            decode=self._decode,
+        )
+        self.workers = PlatformWorkers()
+        self.policy = PlatformPolicy(address=addresses.policy) if addresses.policy else None
+        self.peers = PeerClient()
+        self.keeper = LeaseKeeper(clock=self.clock, store=self.store, log=self.log)
+        self.candidate = Candidate(
+            around=Surroundings(
+                cfg=cfg,
+                clock=self.clock,
+                store=self.store,
+                log=self.log,
+                own=own,
+                view=self.view,
+                keeper=self.keeper,
+                workers=self.workers,
+                directory=PlatformDirectory(store=self.store),
+                policy=self.policy,
+                peers=self.peers,
+                routes=lambda: self.feed.routes,
+            )
+        )
+        self.peer_server = PeerServer(policy=self.policy, count_pending=self._own_count)
+        self.api = ClientApi(
+            clock=self.clock,
+            log=self.log,
+            acceptance=Acceptance(clock=self.clock, store=self.store, log=self.log),
+            routes=lambda: self.feed.routes,
+            count_pending=self._count_pending,
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop, then hand over and end within the grace time."""
+        await self.peer_server.start(self.file.addresses.peers)
+        health = build_app(ready=self._not_ready)
+        tasks = [
+            asyncio.create_task(self.feed.run()),
+            asyncio.create_task(self.keeper.run()),
+            asyncio.create_task(self.candidate.run()),
+        ]
+        servers = [
+            serve(health, address=self.file.addresses.health, idle_s=75),
+            serve(self.api, address=self.file.addresses.clients, idle_s=75),
+        ]
+        serving = [asyncio.create_task(server.serve()) for server in servers]
+        stopping = asyncio.create_task(self.signals.stop.wait())
+        await asyncio.wait([*tasks, *serving, stopping], return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks + serving:
+            if task.done():
+                logger.opt(exception=task.exception()).error("a part of the process has ended")
+        await self._leave()
+        for server in servers:
+            server.should_exit = True
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, *serving, return_exceptions=True)
+        await self.peer_server.close()
+        await self.peers.close()
+        await self.workers.close()
+        if self.policy is not None:
+            await self.policy.close()
+        await self.store.close()
+
+    async def _leave(self) -> None:
+        grace_s = self.file.cell.bounds.grace_s
+        self.leaving = True
+        self.log.emit("process.stopping", grace_s=grace_s)
+        begun = self.clock.monotonic()
+        await self.candidate.leave()
+        # Clients keep using open connections, and the balancer sends new ones for two of its
+        # checks. A process that ended at once would cut both off.
+        await asyncio.sleep(max(0.0, LEAVE_ROTATION_S - (self.clock.monotonic() - begun)))
+        self.api.closing = True
+        end = begun + grace_s - EXIT_RESERVE_S
+        await asyncio.sleep(max(0.0, end - self.clock.monotonic()))
+        self.log.emit("process.stopped", in_progress=self.api.in_progress)
+
+    def _not_ready(self) -> str:
+        if self.leaving:
+            return "the process is stopping"
+        if self.feed.routes is None:
+            return "no configuration has been read yet"
+        silent_s = self.clock.monotonic() - self.feed.read_at
+        if silent_s > STORE_SILENCE_S:
+            return f"the store has not answered for {silent_s:.1f} s"
+        return ""
+
+    def _decode(self, value: bytes, revision: int) -> RouteTable | None:
+        try:
+            return decode_configuration(value, revision=revision)
+        except ConfigurationError as exc:
+            logger.error("the configuration is not understood; the last one stays: {}", exc)
+            return None
+
+    def _own_count(self, queue: str) -> int | None:
+        term = self.candidate.term
+        return term.pending(queue) if term is not None else None
+
+    async def _count_pending(self, queue: str) -> int | None:
+        count = self._own_count(queue)
+        if count is not None:
+            return count
+        now = self.clock.monotonic()
+        known = self._counts.get(queue)
+        if known is not None and now - known[0] < PENDING_AGE_S:
+            return known[1]
+        ownership = self.view.ownership
+        if ownership is None:
+            return None
+        count = await self.peers.pending(ownership.owner, queue)
+        if count is not None:
+            self._counts[queue] = (now, count)
+        return count
+
+
+def read_settings() -> ProcessFile:
+    """Read the settings file that the environment names.
+
+    :raises SettingsFileError: when it can't be used.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsFileError(f"{SETTINGS_VARIABLE}: not set; name the settings file there")
+    return load(Path(path))
--- /dev/null
+++ b/rhubarbferry/platform/serving.py
@@ -0,0 +1,53 @@
+"""HTTP servers that leave the signals to the process."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import uvicorn
+
+from rhubarbferry.frontend.http import HttpProtocol
+
+# Connections that wait to be accepted. When the queue is full the opening packet is dropped and
+# sent again after a second, which a client sees as a slow answer.
+BACKLOG = 1024
+# How long requests in progress may take once the server is told to end.
+GRACE_S = 1
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server without signal handlers of its own."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals alone."""
+        yield
+
+
+def serve(app: Any, *, address: str, idle_s: int) -> HttpServer:
+    """Return a server for an ASGI application.
+
+    :param address: ``ip:port`` to listen on.
+    :param idle_s: how long a connection may be idle.
+    """
+    ip, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=ip,
+        port=int(port),
+        loop="asyncio",
+        http=HttpProtocol,
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        log_level="critical",
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=idle_s,
+        timeout_graceful_shutdown=GRACE_S,
+        backlog=BACKLOG,
+    )
+    return HttpServer(config)
--- a/rhubarbferry/ports/clock.py
+++ b/rhubarbferry/ports/clock.py
@@ -26,13 +26,14 @@
 class SystemClock:
     """The clock of the operating system.
 
-    ``CLOCK_MONOTONIC`` goes on while a process is stopped, so a process that is paused past
-    its lease sees on its first look at the clock that the lease is over.
+    ``CLOCK_BOOTTIME`` goes on while a process is stopped and while its machine is suspended, so
+    a process that is paused past its lease sees on its first look at the clock that the lease
+    is over. ``CLOCK_MONOTONIC`` stands still in a suspended machine.
     """
 
     def monotonic(self) -> float:
-        """Return seconds on the monotonic clock."""
-        return time.monotonic()
+        """Return seconds on the clock that also counts suspended time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
--- a/rhubarbferry/ports/store.py
+++ b/rhubarbferry/ports/store.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from enum import StrEnum
 from typing import Protocol
 
@@ -94,6 +94,119 @@
 WatchEvent = KeyPut | KeyDeleted
 
 
+@frozen(kw_only=True, slots=True)
+class Expect:
+    """A condition of a transaction.
+
+    :param revision: the store's revision of the key's last write; 0 when it must not exist.
+    """
+
+    key: str
+    revision: int
+
+
+@frozen(kw_only=True, slots=True)
+class Put:
+    """A write of a transaction."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@frozen(kw_only=True, slots=True)
+class Txn:
+    """Conditions and changes that take effect together or not at all.
+
+    :param delete: keys to remove; one that does not exist is no error.
+    """
+
+    expect: tuple[Expect, ...] = ()
+    put: tuple[Put, ...] = ()
+    delete: tuple[str, ...] = ()
+
+
+@frozen(kw_only=True, slots=True)
+class Committed:
+    """The transaction took effect.
+
+    :param revision: the store's revision that it made.
+    """
+
+    revision: int
+
+
+@frozen(kw_only=True, slots=True)
+class Conflict:
+    """A condition did not hold, so nothing was changed.
+
+    :param items: the keys of the conditions as they are now; those that don't exist are absent.
+    """
+
+    items: Mapping[str, KeyValue]
+
+
+@frozen(kw_only=True, slots=True)
+class Changes:
+    """What happened under a prefix.
+
+    :param revision: go on from here.
+    """
+
+    revision: int
+    events: tuple[WatchEvent, ...]
+
+
+class TxnStore(Protocol):
+    """A key-value service with transactions over several keys and watches by long poll."""
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the key as of now, or ``None`` when there is none."""
+        ...
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all keys that start with ``prefix``.
+
+        The keys may be of different times; watching from the listing's revision on finds each
+        change that it missed.
+        """
+        ...
+
+    async def commit(self, txn: Txn) -> Committed | Conflict:
+        """Carry out a transaction.
+
+        :raises LeaseLost: when a lease that it names has ended; nothing was changed.
+        :raises StoreUnclear: when it may have taken effect, or may yet.
+        """
+        ...
+
+    async def changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
+        """Return what happened after a revision, once something has or ``wait_s`` is over.
+
+        :raises WatchBroken: when that history is gone; list the prefix again.
+        """
+        ...
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Open a lease of ``ttl_s`` seconds; return its id."""
+        ...
+
+    async def keep_alive(self, lease_id: int) -> float:
+        """Extend a lease; return the seconds it runs from the arrival of the call.
+
+        :raises LeaseLost: when it has ended.
+        """
+        ...
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete the keys that hang on it."""
+        ...
+
+    async def close(self) -> None:
+        """Give up connections; calls in progress fail."""
+        ...
+
+
 class Spend(StrEnum):
     """What a call takes from the budget of a process."""
 
--- a/rhubarbferry/rpc/gen/__init__.py
+++ b/rhubarbferry/rpc/gen/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Scheduler', 'Guard', 'Worker']
+__all__ = ['ttypes', 'constants', 'Scheduler', 'Guard', 'Worker', 'Peer']
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -1913,6 +1913,113 @@
         self.number = number
 
 
+class PendingRequest(TBase):
+    """
+    Attributes:
+     - queue
+
+    """
+
+    __slots__ = (
+        'queue',
+    )
+
+
+    def __init__(self, queue=None,):
+        self.queue = queue
+
+
+class PendingReply(TBase):
+    """
+    Attributes:
+     - owner
+     - pending
+
+    """
+
+    __slots__ = (
+        'owner',
+        'pending',
+    )
+
+
+    def __init__(self, owner=None, pending=None,):
+        self.owner = owner
+        self.pending = pending
+
+
+class ApprovalRequest(TBase):
+    """
+    Attributes:
+     - job
+     - occurrence
+     - step
+     - hosts
+     - timeout_ms
+
+    """
+
+    __slots__ = (
+        'job',
+        'occurrence',
+        'step',
+        'hosts',
+        'timeout_ms',
+    )
+
+
+    def __init__(self, job=None, occurrence=None, step=None, hosts=None, timeout_ms=None,):
+        self.job = job
+        self.occurrence = occurrence
+        self.step = step
+        self.hosts = hosts
+        self.timeout_ms = timeout_ms
+
+
+class HostApproval(TBase):
+    """
+    Attributes:
+     - host
+     - ticket
+
+    """
+
+    __slots__ = (
+        'host',
+        'ticket',
+    )
+
+
+    def __init__(self, host=None, ticket=None,):
+        self.host = host
+        self.ticket = ticket
+
+
+class ApprovalReply(TBase):
+    """
+    Attributes:
+     - answered
+     - approvals
+     - valid_ms
+     - detail
+
+    """
+
+    __slots__ = (
+        'answered',
+        'approvals',
+        'valid_ms',
+        'detail',
+    )
+
+
+    def __init__(self, answered=None, approvals=None, valid_ms=None, detail=None,):
+        self.answered = answered
+        self.approvals = approvals
+        self.valid_ms = valid_ms
+        self.detail = detail
+
+
 class IntentBegun(TBase):
     """
     Attributes:
@@ -2729,6 +2836,40 @@
     (5, TType.I32, 'running', None, None, ),  # 5
     (6, TType.I64, 'number', None, None, ),  # 6
 )
+all_structs.append(PendingRequest)
+PendingRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'queue', 'UTF8', None, ),  # 1
+)
+all_structs.append(PendingReply)
+PendingReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'owner', None, None, ),  # 1
+    (2, TType.I64, 'pending', None, None, ),  # 2
+)
+all_structs.append(ApprovalRequest)
+ApprovalRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'occurrence', None, None, ),  # 2
+    (3, TType.I32, 'step', None, None, ),  # 3
+    (4, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.I32, 'timeout_ms', None, None, ),  # 5
+)
+all_structs.append(HostApproval)
+HostApproval.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'ticket', 'UTF8', None, ),  # 2
+)
+all_structs.append(ApprovalReply)
+ApprovalReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'answered', None, None, ),  # 1
+    (2, TType.LIST, 'approvals', (TType.STRUCT, [HostApproval, None], False), None, ),  # 2
+    (3, TType.I64, 'valid_ms', None, None, ),  # 3
+    (4, TType.STRING, 'detail', 'UTF8', None, ),  # 4
+)
 all_structs.append(IntentBegun)
 IntentBegun.thrift_spec = (
     None,  # 0
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -518,6 +518,33 @@
   RenewReply renew(1: RenewRequest req),
 }
 
+// ---------------------------------------------------------------- between the processes of a cell
+
+struct PendingRequest { 1: required string queue }
+struct PendingReply {
+  1: required bool owner, /* whether the process owns the cell's work and could count */
+  2: required i64 pending, /* jobs of the queue with no task started */
+}
+struct ApprovalRequest {
+  1: required string job,
+  2: required i32 occurrence,
+  3: required i32 step,
+  4: required list<string> hosts,
+  5: required i32 timeout_ms,
+}
+struct HostApproval { 1: required string host, 2: required string ticket }
+struct ApprovalReply {
+  1: required bool answered, /* whether the policy service gave an answer */
+  2: required list<HostApproval> approvals,
+  3: required i64 valid_ms,
+  4: optional string detail,
+}
+service Peer {
+  PingReply ping(1: PingRequest req),
+  PendingReply pending(1: PendingRequest req),
+  ApprovalReply ask_approval(1: ApprovalRequest req),
+}
+
 // ---------------------------------------------------------------- log entries in the store
 
 struct IntentBegun {
