--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -70,7 +70,7 @@
         self.ctx = TermContext(
             around=self.around,
             tenure=self.tenure,
-            dispatcher=Dispatcher(succession=succession),
+            dispatcher=Dispatcher(succession=succession, lease_s=lease_s),
         )
         self._roster = Roster(store=self.around.store, tenure=self.tenure)
         self._inbox = Inbox(ctx=self.ctx)
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -62,12 +62,14 @@
     """The owner's view of the jobs and hosts of a cell.
 
     :param succession: what must be known before inherited jobs go on.
+    :param lease_s: longest task lease that a host grants.
     :ivar dirty: jobs whose recorded state is behind, in the order of change.
     :ivar ended: jobs whose end was recorded in this term.
     :ivar notes: outcomes since the last look, for the log.
     """
 
     succession: Succession
+    lease_s: float
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
     ended: set[str] = Factory(set)
@@ -81,7 +83,7 @@
     _was_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
-        self.tracker = Tracker(jobs=self.jobs)
+        self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s)
 
     # ------------------------------------------------------------ jobs
 
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -52,6 +52,9 @@
     :param held_until_s: on its own clock, the end of the task leases that were asked for.
     :param seen_end: highest number of an end that has been worked in.
     :param recorded_end: highest number whose ends stand in the store.
+    :param strangers: runs of jobs that have ended or are unknown, with the time of the last order
+        to stop them. What they take up is not known, so until they are gone the host gets no
+        tasks; it would be given more than it holds.
     :param blocked_until: it gets no new tasks before this time.
     :param was_open: whether it took tasks at the last decision.
     """
@@ -61,6 +64,7 @@
     adopted: bool = False
     used: Sizes = field(factory=Sizes)
     runs: dict[RunKey, Run] = Factory(dict)
+    strangers: dict[RunKey, float] = Factory(dict)
     clock: HostClock | None = None
     held_until_s: float = 0.0
     seen_end: int = 0
@@ -85,6 +89,7 @@
             self.listed
             and self.adopted
             and self.clock is not None
+            and not self.strangers
             and self.entry.phase is HostPhase.READY
             and now >= self.blocked_until
             and now - self.heard_at < SILENT_S
@@ -112,9 +117,16 @@
         if self.runs.pop((run.task.id, run.attempt), None) is not None:
             self.used = self.used.minus(run.task.step.req.room)
 
-    def heard(self, report: HostReport, *, sent_at: float, now: float) -> None:
-        """Note that it answered."""
+    def heard(self, report: HostReport, *, sent_at: float, now: float, lease_s: float) -> None:
+        """Note that it answered.
+
+        :param lease_s: longest lease that the host grants.
+        """
         self.heard_at = now
+        if self.clock is None:
+            # What it runs may have been ordered by an earlier owner, whose deadlines this one
+            # has not seen. Taken for lapsed too early, those tasks would run twice.
+            self.held_until_s = max(self.held_until_s, report.clock_s + lease_s)
         self.clock = HostClock(clock_s=report.clock_s, sent_at=sent_at, heard_at=now)
 
     def leases_lapsed(self, now: float) -> bool:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -70,11 +70,13 @@
     """Hosts and what runs on them.
 
     :param jobs: the jobs that have not ended, by id.
+    :param lease_s: longest task lease that a host grants.
     :ivar stops: orders to stop runs, to be taken by the caller.
     :ivar changed: hosts whose room or state has changed since the last look.
     """
 
     jobs: dict[str, Job]
+    lease_s: float
     hosts: dict[str, Host] = Factory(dict)
     stops: list[StopOrder] = Factory(list)
     changed: set[str] = Factory(set)
@@ -123,6 +125,7 @@
             self.stop(run, "its host started anew")
         host.entry = entry
         host.clock = None
+        host.strangers = {}
         host.adopted = False
         host.seen_end = host.recorded_end = 0
         host.held_until_s = 0.0
@@ -145,7 +148,7 @@
         if host.clock is not None and report.clock_s < host.clock.clock_s:
             # An answer that was overtaken by a later one on another connection.
             return outcomes
-        host.heard(report, sent_at=sent_at, now=now)
+        host.heard(report, sent_at=sent_at, now=now, lease_s=self.lease_s)
         if not host.adopted:
             host.adopted = True
             self.changed.add(host.id)
@@ -153,9 +156,9 @@
             if ended.number > host.seen_end:
                 host.seen_end = ended.number
                 outcomes += self._ended(host, ended)
-        listed = set()
+        listed = {(running.task, running.attempt) for running in report.running}
+        host.strangers = {key: at for key, at in host.strangers.items() if key in listed}
         for running in report.running:
-            listed.add((running.task, running.attempt))
             outcomes += self._running(host, running, report, now)
         outcomes += self._settle_unlisted(host, report, listed, now)
         return outcomes
@@ -196,14 +199,7 @@
         """Take on a run that an earlier owner started, or that was started late."""
         task = self.task(running.task)
         if task is None:
-            self.stops.append(
-                StopOrder(
-                    host=host.id,
-                    task=running.task,
-                    attempt=running.attempt,
-                    reason="its job has ended or is unknown",
-                )
-            )
+            self._stop_stranger(host, running, now)
             return []
         run = Run(
             task=task,
@@ -233,6 +229,20 @@
             task.checkpoint = running.checkpoint
         return outcomes
 
+    def _stop_stranger(self, host: Host, running: RunningTask, now: float) -> None:
+        key = (running.task, running.attempt)
+        if now - host.strangers.get(key, -math.inf) < STOP_AGAIN_S:
+            return
+        host.strangers[key] = now
+        self.stops.append(
+            StopOrder(
+                host=host.id,
+                task=running.task,
+                attempt=running.attempt,
+                reason="its job has ended or is unknown",
+            )
+        )
+
     def _settle_unlisted(
         self, host: Host, report: HostReport, listed: set[tuple[TaskId, int]], now: float
     ) -> list[Outcome]:
--- /dev/null
+++ b/tests/dispatch/test_takeover.py
@@ -0,0 +1,105 @@
+"""A new owner of the work and the tasks that an earlier owner has started."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbferry.dispatch.messages import (
+    EndKind,
+    RunningTask,
+    StopOrder,
+    TaskId,
+)
+
+from .world import World, job, step
+
+FENCE = 500
+
+
+def inherited(id: str, *steps, **fields):
+    return job(id, *steps, inherited=True, first_attempt=FENCE, **fields)
+
+
+def running(host, task: TaskId, attempt: int) -> None:
+    host.running[(task, attempt)] = RunningTask(task=task, attempt=attempt)
+
+
+def test_an_adopted_task_is_not_started_again():
+    """An owner stops and hands over. The next one hears from a host that a task runs there. It
+    has never extended that host's leases itself; were they taken for lapsed, the task would
+    start a second time and a slip be printed twice."""
+    world = World("a", "b", roster=("a", "b"))
+    task = TaskId(job="j", occurrence=0, step=0, index=0)
+    world.add(inherited("j", step()))
+    running(world.hosts["a"], task, 1)
+    world.hear()
+    for _ in range(20):
+        assert world.starts(0.2) == []
+        world.hear()
+
+
+def test_what_an_unheard_host_may_run_waits_until_its_leases_are_over():
+    """A host is cut off as the owner dies. The next owner can't hear it, and the host runs the
+    task on. Starting the task elsewhere at once would run it twice; a user would see the job
+    delayed until the leases are over, and then done once."""
+    world = World("a", roster=("a", "b"))
+    world.add(inherited("old", step()))
+    world.add(job("new", step()))
+    assert [order.task.job for order in world.starts()] == ["new"]
+    for _ in range(16):
+        world.hear()
+        assert world.starts(0.5) == []
+    world.now += 0.9
+    world.hear()
+    assert [order.task.job for order in world.starts(0.2)] == ["old"]
+
+
+def test_attempts_of_inherited_tasks_are_above_those_of_earlier_owners():
+    """A start that an earlier owner sent is carried out seconds late. Had the new owner used
+    the same attempt number elsewhere, nobody could tell the two runs apart."""
+    world = World("a", roster=("a",))
+    world.add(inherited("old", step()))
+    world.add(job("new", step()))
+    attempts = {order.task.job: order.attempt for order in world.starts()}
+    assert attempts == {"old": FENCE, "new": 1}
+
+
+@pytest.mark.parametrize("missing", [0, 1, 2])
+def test_a_gang_that_was_started_in_part_is_started_anew_as_a_whole(missing):
+    """The owner dies between the starts of a gang's members. The members that run wait for the
+    others in vain; the next owner must stop them, or the room and the job are lost for the
+    gang's whole waiting time."""
+    world = World("a", "b", roster=("a", "b"))
+    gang = inherited("g", step(3, gang=True))
+    world.add(gang)
+    for index in range(3):
+        if index != missing:
+            running(world.hosts["a"], TaskId(job="g", occurrence=0, step=0, index=index), 1)
+    world.hear()
+    stops = [order for order in world.decide() if isinstance(order, StopOrder)]
+    assert sorted(order.task.index for order in stops) == [i for i in range(3) if i != missing]
+    for order in stops:
+        world.hosts["a"].end(order, EndKind.STOPPED)
+    world.now += 0.1
+    world.hear()
+    starts = world.starts()
+    assert [order.attempt for order in starts] == [FENCE] * 3
+
+
+def test_a_host_with_a_run_of_an_ended_job_gets_no_task_until_that_run_is_gone():
+    """A job has failed and its other tasks are being stopped as the owner dies. The next owner
+    no longer has the job, so it can't know what these tasks take up. Were they left out of
+    account, the host would get more than it holds and all its tasks would suffer."""
+    world = World("a", roster=("a",))
+    host = world.hosts["a"]
+    stranger = TaskId(job="ended", occurrence=0, step=0, index=0)
+    running(host, stranger, 1)
+    world.now += 0.1
+    world.hear()
+    world.add(job("new", step()))
+    orders = world.decide()
+    assert [type(order) for order in orders] == [StopOrder]
+    host.end(orders[0], EndKind.STOPPED)
+    world.now += 0.1
+    world.hear()
+    assert [order.task.job for order in world.starts()] == ["new"]
--- /dev/null
+++ b/tests/dispatch/world.py
@@ -0,0 +1,153 @@
+"""A dispatcher with hosts that tests can play the part of."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.job import Job
+from rhubarbferry.dispatch.messages import (
+    AdviceOrder,
+    EndedTask,
+    EndKind,
+    HostEntry,
+    HostReport,
+    JobRequest,
+    Order,
+    Queue,
+    RunningTask,
+    Sizes,
+    Started,
+    StartOrder,
+    StepRequest,
+    StopOrder,
+)
+from rhubarbferry.dispatch.succession import RosterEntry, Succession
+
+LEASE_S = 6.0
+CORES = 1000
+QUEUE = Queue(name="queue", service="pool", attempts=3)
+
+
+def entry(id: str, *, millicores: int = 8 * CORES, incarnation: int = 1, **fields) -> HostEntry:
+    return HostEntry(
+        id=id,
+        incarnation=incarnation,
+        service="pool",
+        address=f"{id}:1",
+        capacity=Sizes(millicores=millicores, memory_mb=64_000),
+        **fields,
+    )
+
+
+def step(count: int = 1, *, millicores: int = CORES, **fields) -> StepRequest:
+    sizes = Sizes(millicores=millicores, memory_mb=100)
+    return StepRequest(count=count, sizes=sizes, estimate_s=1.0, **fields)
+
+
+def job(id: str, *steps: StepRequest, queue: Queue = QUEUE, **fields) -> Job:
+    return Job(
+        req=JobRequest(id=id, queue=queue.name, payload="work", steps=steps),
+        queue=queue,
+        arrived_at=fields.pop("arrived_at", 0.0),
+        created_revision=1,
+        record_revision=1,
+        **fields,
+    )
+
+
+@define
+class HostPart:
+    """A host as the test plays it: what it runs and what has ended there."""
+
+    id: str
+    incarnation: int = 1
+    clock_offset: float = 100.0
+    running: dict = Factory(dict)
+    ended: list = Factory(list)
+    count: int = 0
+
+    def run(self, order: StartOrder, percent: float = 0.0) -> None:
+        self.running[(order.task, order.attempt)] = RunningTask(
+            task=order.task, attempt=order.attempt, percent=percent
+        )
+
+    def end(self, order, how: EndKind = EndKind.DONE, checkpoint: str = "") -> None:
+        self.running.pop((order.task, order.attempt), None)
+        self.count += 1
+        self.ended.append(
+            EndedTask(
+                number=self.count,
+                task=order.task,
+                attempt=order.attempt,
+                how=how,
+                checkpoint=checkpoint,
+            )
+        )
+
+    def report(self, now: float) -> HostReport:
+        return HostReport(
+            clock_s=now + self.clock_offset,
+            incarnation=self.incarnation,
+            running=tuple(self.running.values()),
+            ended=tuple(self.ended),
+        )
+
+
+class World:
+    """The dispatcher, its hosts, and a clock that the test moves."""
+
+    def __init__(self, *hosts: str, roster: tuple[str, ...] = (), **fields) -> None:
+        self.now = 10.0
+        self.dispatcher = Dispatcher(
+            succession=Succession(
+                unheard={
+                    id: RosterEntry(id=id, address=f"{id}:1", incarnation=1, service="pool")
+                    for id in roster
+                },
+                lapsed_at=self.now + 9.0,
+            ),
+            lease_s=LEASE_S,
+        )
+        self.hosts: dict[str, HostPart] = {}
+        for id in hosts:
+            self.add_host(id, **fields)
+
+    def add_host(self, id: str, **fields) -> HostPart:
+        self.hosts[id] = HostPart(id=id)
+        self.dispatcher.host_listed(entry(id, **fields), now=self.now)
+        self.hear(id)
+        return self.hosts[id]
+
+    def hear(self, *ids: str) -> None:
+        for id in ids or tuple(self.hosts):
+            host = self.dispatcher.tracker.hosts.get(id)
+            if host is None:
+                continue
+            host.hold(self.now, LEASE_S)
+            self.dispatcher.reported(
+                id, self.hosts[id].report(self.now), sent_at=self.now, now=self.now
+            )
+
+    def add(self, item: Job) -> Job:
+        self.dispatcher.add_job(item, now=self.now, wall_s=self.now)
+        return item
+
+    def decide(self, seconds: float = 0.0) -> list[Order]:
+        self.now += seconds
+        return self.dispatcher.decide(now=self.now, wall_s=self.now)
+
+    def starts(self, seconds: float = 0.0) -> list[StartOrder]:
+        return [order for order in self.decide(seconds) if isinstance(order, StartOrder)]
+
+    def accept(self, *orders: StartOrder) -> None:
+        """Let hosts run what they were told to start, and say so."""
+        for order in orders:
+            self.hosts[order.host].run(order)
+            self.answer(order, Started(clock_s=self.now + 100.0))
+
+    def answer(self, order: StartOrder, result) -> None:
+        self.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=self.now)
+
+
+__all__ = ["AdviceOrder", "StopOrder", "World", "entry", "job", "step"]
