--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -461,14 +461,10 @@
         step = task.step
         if step.req.lasting:
             return False
-        if step.req.gang:
-            # Members of one attempt may fail together; the gang has failed once.
-            if attempt != step.failed_attempt:
-                step.failed_attempt = attempt
-                step.failures += 1
-            return step.failures >= step.job.queue.attempts
-        task.failures += 1
-        return task.failures >= step.job.queue.attempts
+        # Members of a gang's attempt may fail together; the gang has failed once.
+        failed = step.failed_attempts if step.req.gang else task.failed_attempts
+        failed.add(attempt)
+        return len(failed) >= step.job.queue.attempts
 
     def _task_done(self, task: Task, now: float) -> None:
         step = task.step
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -65,14 +65,15 @@
     """One task: what is recorded of it, and its run if it has one.
 
     :param attempt: highest number that a run of it has used.
-    :param failures: runs that ended through a failure.
+    :param failed_attempts: attempts that ended through a failure. A host lists an end until it
+        is told to forget it, so a new owner may see one that its predecessor has counted.
     :param checkpoint: where the next run resumes, empty for the start.
     """
 
     id: TaskId
     step: Step = field(repr=False)
     attempt: int = 0
-    failures: int = 0
+    failed_attempts: set[int] = Factory(set)
     checkpoint: str = ""
     done: bool = False
     run: Run | None = None
@@ -87,8 +88,7 @@
 class Step:
     """One step of one occurrence.
 
-    :param failures: of the whole gang, where the step is one.
-    :param failed_attempt: the gang's attempt that was counted last.
+    :param failed_attempts: of the whole gang, where the step is one.
     :param ready_at: when the steps before it were done, ``None`` before that.
     """
 
@@ -96,8 +96,7 @@
     id: StepId
     req: StepRequest
     tasks: list[Task] = Factory(list)
-    failures: int = 0
-    failed_attempt: int = 0
+    failed_attempts: set[int] = Factory(set)
     ready_at: float | None = None
     done_count: int = 0
     ever_started: bool = False
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -82,11 +82,15 @@
     done = sum(1 << task.id.index for task in step.tasks if task.done)
     if done:
         fields["done"] = f"{done:x}"
-    failures = {str(task.id.index): task.failures for task in step.tasks if task.failures}
-    if failures:
-        fields["failures"] = failures
-    if step.failures:
-        fields["gang_failures"] = step.failures
+    failed = {
+        str(task.id.index): sorted(task.failed_attempts)
+        for task in step.tasks
+        if task.failed_attempts
+    }
+    if failed:
+        fields["failed"] = failed
+    if step.failed_attempts:
+        fields["gang_failed"] = sorted(step.failed_attempts)
     saved = {
         str(task.id.index): task.checkpoint
         for task in step.tasks
@@ -127,16 +131,16 @@
 
 def _restore_step(step: Step, fields: dict[str, Any]) -> None:
     done = int(fields.get("done", "0"), 16)
-    failures = fields.get("failures", {})
+    failed = fields.get("failed", {})
     saved = fields.get("saved", {})
-    step.failures = int(fields.get("gang_failures", 0))
+    step.failed_attempts = {int(attempt) for attempt in fields.get("gang_failed", ())}
     for task in step.tasks:
         key = str(task.id.index)
         task.done = bool(done >> task.id.index & 1)
-        task.failures = int(failures.get(key, 0))
+        task.failed_attempts = {int(attempt) for attempt in failed.get(key, ())}
         task.checkpoint = str(saved.get(key, ""))
     step.done_count = sum(task.done for task in step.tasks)
-    step.ever_started = bool(done or failures or saved or step.failures)
+    step.ever_started = bool(done or failed or saved or step.failed_attempts)
 
 
 def with_queue(record: JobRecord, queue: Queue | None) -> JobRecord:
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -4,13 +4,17 @@
 
 import pytest
 
+from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.messages import (
+    EndedTask,
     EndKind,
     RunningTask,
     StopOrder,
     TaskId,
 )
 
+from rhubarbferry.dispatch.record import encode_state, restore_state
+
 from .world import World, job, step
 
 FENCE = 500
@@ -103,3 +107,33 @@
     world.now += 0.1
     world.hear()
     assert [order.task.job for order in world.starts()] == ["new"]
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_failure_that_is_on_record_is_not_counted_again(gang):
+    """The owner records that a run has failed and dies before it lets the host forget that end.
+    The next owner finds it both on record and in the host's list. Counted twice, a job would be
+    shown as failed though its task had attempts left."""
+    before = World("a", roster=())
+    first = before.add(job("j", step(gang=gang)))
+    orders = before.starts()
+    before.accept(*orders)
+    before.hosts["a"].end(orders[0], EndKind.FAILED)
+    before.now += 0.1
+    before.hear()
+    recorded = encode_state(first)
+
+    after = World("a", roster=("a",))
+    second = inherited("j", step(gang=gang))
+    second.add_occurrence(0, after.now)
+    restore_state(second, recorded, now=after.now)
+    after.add(second)
+    after.hosts["a"].ended = [
+        EndedTask(number=1, task=orders[0].task, attempt=orders[0].attempt, how=EndKind.FAILED)
+    ]
+    after.now += 0.1
+    after.hear()
+    step_state = second.occurrences[0].steps[0]
+    failed = step_state.failed_attempts if gang else step_state.tasks[0].failed_attempts
+    assert failed == {1}
+    assert second.phase is not JobPhase.FAILED
