Serve clients through another process while the store turns one away

Cause: a process that the store does not answer let its clients wait for their whole time. Leases of 1.5 s instead of 2, a restarted owner replaces its own key, and the first look at a host is repeated soon.

--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -1,13 +1,13 @@
-"""Accept, look up and cancel jobs on behalf of clients, straight in the store."""
+"""Accept, look up and cancel jobs for clients, straight in the store."""
 
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 
 from attrs import define
 
 from rhubarbferry.cell import keys
+from rhubarbferry.cell.job_calls import Accepted, Cancelled, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import (
@@ -33,22 +33,6 @@
 LAST_TRY_S = 0.15
 
 
-class Accepted(Enum):
-    """What has become of a submission."""
-
-    YES = "accepted"
-    NO = "not accepted, and it never runs"
-    UNCLEAR = "may have been accepted"
-
-
-class Cancelled(Enum):
-    """What has become of a cancellation."""
-
-    YES = "cancelled or ended"
-    UNKNOWN_JOB = "no such job"
-    NOT_NOW = "the store is not reached"
-
-
 @define(kw_only=True, eq=False)
 class Acceptance:
     """Clients' jobs in the store. It needs no owner: any process accepts at any time."""
@@ -103,18 +87,17 @@
             await asyncio.sleep(RETRY_S)
 
     async def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job, or ``None`` when there is no such job.
-
-        :raises StoreError: when the store can't be read.
-        """
-        item = await self.store.get(keys.STATES + id)
-        return None if item is None else decode_phase(item.value)
+        """Return the phase of a job, or ``None`` when there is no such job."""
+        try:
+            return await self._read(id)
+        except StoreError as exc:
+            raise PhaseUnknown(str(exc)[:200]) from exc
 
     async def cancel(self, id: str, *, deadline: float) -> Cancelled:
         """Record that a job is to be stopped; the owner of the work sees it there."""
         while True:
             try:
-                phase = await self.phase(id)
+                phase = await self._read(id)
                 if phase is None:
                     return Cancelled.UNKNOWN_JOB
                 if not phase.final:
@@ -130,3 +113,7 @@
 
     def _cancellation(self, id: str) -> Txn:
         return Txn(put=(Put(key=keys.CANCELS + id, value=b"{}"),))
+
+    async def _read(self, id: str) -> JobPhase | None:
+        item = await self.store.get(keys.STATES + id)
+        return None if item is None else decode_phase(item.value)
--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -22,9 +22,9 @@
 )
 
 # How long one watch call waits.
-WATCH_S = 1.0
+WATCH_S = 2.0
 # A watch may miss changes without saying so; a whole read now and then finds them.
-AUDIT_S = 3.0
+AUDIT_S = 4.0
 RETRY_S = 0.2
 # Members try for the ownership one after the other, each this long after the one before, so
 # that a free ownership costs one write and not one from each member.
@@ -96,8 +96,14 @@
             if self._is_ours(ownership, lease):
                 await self._own(ownership, lease)
                 return
-        if ownership is None and not self._draining:
-            await self._try_to_own(lease)
+        if self._draining:
+            await self._watch(WATCH_S)
+        elif ownership is None:
+            await self._wait_for_turn_and_own(lease)
+        elif ownership.owner == self.around.own:
+            # The key of an earlier life of this process: there is one process to an address, so
+            # that one has ended. Waiting for its lease to end would only lengthen the gap.
+            await self._try_to_own(lease, replaces=ownership.fence)
         else:
             await self._watch(WATCH_S)
 
@@ -116,7 +122,7 @@
     def _is_ours(self, ownership: Ownership, lease: Lease) -> bool:
         return ownership.owner.name == self.around.own.name and ownership.lease_id == lease.id
 
-    async def _try_to_own(self, lease: Lease) -> None:
+    async def _wait_for_turn_and_own(self, lease: Lease) -> None:
         now = self.around.clock.monotonic()
         if self._free_since is None:
             self._free_since = now
@@ -125,10 +131,17 @@
         if left > 0:
             await self._watch(left)
             return
+        await self._try_to_own(lease, replaces=0)
+
+    async def _try_to_own(self, lease: Lease, *, replaces: int) -> None:
+        """Write the owner's key.
+
+        :param replaces: revision of the key that stands there, 0 for none.
+        """
         value = encode_member(self.around.own)
         result = await self.around.store.commit(
             Txn(
-                expect=(Expect(key=keys.OWNER, revision=0),),
+                expect=(Expect(key=keys.OWNER, revision=replaces),),
                 put=(Put(key=keys.OWNER, value=value, lease_id=lease.id),),
             )
         )
--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -13,10 +13,10 @@
 from rhubarbferry.ports.store import KeyPut, KeyValue, StoreError, TxnStore, WatchBroken
 
 # A configuration must be in force within 2.5 s of its being accepted. A watch that has gone
-# silent is found after this wait and 0.8 s more, and a read follows.
-WATCH_S = 0.8
+# silent is found after this wait and 0.6 s more, and a read follows.
+WATCH_S = 1.2
 # A watch may miss changes without saying so; a read of the key now and then finds them.
-AUDIT_S = 1.5
+AUDIT_S = 2.0
 RETRY_S = 0.15
 
 Decode = Callable[[bytes, int], RouteTable | None]
--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -20,7 +20,13 @@
 # After a look that failed.
 RETRY_S = 0.25
 # While ends are not yet on record the host would answer at once each time.
-UNRECORDED_PAUSE_S = 0.05
+UNRECORDED_PAUSE_S = 0.12
+# How long to wait for an answer, over the time that the look itself takes.
+PATIENCE_S = 0.8
+# A new owner starts no inherited task before each host has answered once. One lost answer must
+# not hold all of them up, so the first look is sent again soon.
+FIRST_PATIENCE_S = 0.25
+FIRST_RETRY_S = 0.05
 
 
 @define(kw_only=True, eq=False)
@@ -38,7 +44,7 @@
         while (host := self.ctx.dispatcher.tracker.hosts.get(self.id)) is not None:
             self.ctx.tenure.check()
             if not await self._look(host):
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(RETRY_S if host.adopted else FIRST_RETRY_S)
             elif host.seen_end > host.recorded_end:
                 await asyncio.sleep(UNRECORDED_PAUSE_S)
 
@@ -55,6 +61,7 @@
             deadline_s=deadline_s,
             forget_to=host.recorded_end,
             wait_s=0.0 if at_once else LOOK_S,
+            patience_s=PATIENCE_S if host.adopted else FIRST_PATIENCE_S,
         )
         try:
             report = await ctx.around.workers.hold(entry, req)
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -25,7 +25,7 @@
     WatchBroken,
 )
 
-# How long one watch call waits; a watch that has gone silent is found 0.8 s after that.
+# How long one watch call waits; a watch that has gone silent is found 0.6 s after that.
 WATCH_S = 1.0
 # A watch may miss changes without saying so for as long as it goes on. A whole read now and then
 # finds them; it costs one reading call.
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -12,9 +12,9 @@
 from rhubarbferry.ports.store import LeaseLost, StoreError, TxnStore
 
 # A killed owner is replaced once its lease has ended, so a short lease means a short gap. It must
-# outlast a slow store: answers that take 0.4 s and one renewal that gets none.
-TTL_S = 2.0
-RENEW_S = 0.4
+# outlast a slow store: answers that take 0.4 s and two renewals that get none.
+TTL_S = 1.5
+RENEW_S = 0.3
 # Taken off each term: the clocks of this host and the store may differ by 2 %.
 MARGIN_S = 0.1
 RETRY_S = 0.2
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -4,11 +4,23 @@
 
 from collections.abc import Awaitable, Callable
 
+from loguru import logger
+
+from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.members import Member
+from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.messages import Approval, StepId
+from rhubarbferry.dispatch.record import (
+    JobRecord,
+    RecordError,
+    decode_request,
+    encode_request,
+)
+from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.workers import Approvals, PolicyService, WorkerError, WorkerSilent
 from rhubarbferry.rpc.connection import Timing
-from rhubarbferry.rpc.errors import RpcError
+from rhubarbferry.rpc.errors import PeerUnreachable, RpcError
+from rhubarbferry.rpc.gen.ttypes import Acceptance as AcceptanceWord
 from rhubarbferry.rpc.gen.ttypes import (
     ApprovalReply,
     ApprovalRequest,
@@ -17,6 +29,12 @@
     PendingRequest,
     PingReply,
     PingRequest,
+    RelayedCancel,
+    RelayedCancelReply,
+    RelayedPhase,
+    RelayedPhaseReply,
+    RelayedSubmit,
+    RelayedSubmitReply,
 )
 from rhubarbferry.rpc.pool import Pool
 from rhubarbferry.rpc.server import Server
@@ -28,24 +46,47 @@
 # Both ways between regions, and the wait for a turn in the process that asks.
 HOP_S = 0.4
 
+# Left of a client's time for the way back.
+RETURN_S = 0.1
+PHASE_S = 0.8
+
 CountPending = Callable[[str], int | None]
 
+WORDS = {
+    Accepted.YES: AcceptanceWord.ACCEPTED,
+    Accepted.NO: AcceptanceWord.NOT_ACCEPTED,
+    Accepted.UNCLEAR: AcceptanceWord.UNCLEAR,
+}
+
 
 class PeerServer:
     """Answers other processes of the cell.
 
+    :param jobs: serves the job calls of processes that can't reach the store.
     :param policy: asked on behalf of the owner.
     :param count_pending: returns the jobs of a queue that wait, or ``None`` when this process
         does not own the work.
     """
 
-    def __init__(self, *, policy: PolicyService | None, count_pending: CountPending) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        jobs: JobCalls,
+        policy: PolicyService | None,
+        count_pending: CountPending,
+    ) -> None:
+        self._clock = clock
+        self._jobs = jobs
         self._policy = policy
         self._count_pending = count_pending
         handlers: dict[str, Callable[..., Awaitable[object]]] = {
             "ping": self._ping,
             "pending": self._pending,
             "ask_approval": self._ask_approval,
+            "submit": self._submit,
+            "phase": self._phase,
+            "cancel": self._cancel,
         }
         self._server = Server(service=PEER, handlers=handlers)
 
@@ -65,6 +106,32 @@
         count = self._count_pending(req.queue)
         return PendingReply(owner=count is not None, pending=count or 0)
 
+    async def _submit(self, req: RelayedSubmit) -> RelayedSubmitReply:
+        deadline = self._clock.monotonic() + req.timeout_ms / 1000
+        try:
+            record = decode_request(req.record)
+        except RecordError as exc:
+            logger.error("a process passed on a job that can't be read: {}", exc)
+            return RelayedSubmitReply(accepted=AcceptanceWord.NOT_ACCEPTED)
+        return RelayedSubmitReply(
+            accepted=WORDS[await self._jobs.submit(record, deadline=deadline)]
+        )
+
+    async def _phase(self, req: RelayedPhase) -> RelayedPhaseReply:
+        try:
+            phase = await self._jobs.phase(req.job)
+        except PhaseUnknown:
+            return RelayedPhaseReply(read=False)
+        return RelayedPhaseReply(read=True, phase=phase.value if phase is not None else None)
+
+    async def _cancel(self, req: RelayedCancel) -> RelayedCancelReply:
+        deadline = self._clock.monotonic() + req.timeout_ms / 1000
+        result = await self._jobs.cancel(req.job, deadline=deadline)
+        return RelayedCancelReply(
+            recorded=result is not Cancelled.NOT_NOW,
+            known=result is not Cancelled.UNKNOWN_JOB,
+        )
+
     async def _ask_approval(self, req: ApprovalRequest) -> ApprovalReply:
         step = StepId(job=req.job, occurrence=req.occurrence, step=req.step)
         if self._policy is None:
@@ -133,6 +200,53 @@
             valid_s=reply.valid_ms / 1000,
         )
 
+    async def submit(self, member: Member, record: JobRecord, *, timeout_s: float) -> Accepted:
+        """Let another process accept a job."""
+        req = RelayedSubmit(
+            record=encode_request(record), timeout_ms=int((timeout_s - RETURN_S) * 1000)
+        )
+        try:
+            reply = await self._pool.call(
+                member.address, "submit", req, timeout_s=timeout_s, region=member.region
+            )
+        except PeerUnreachable:
+            return Accepted.NO
+        except RpcError:
+            return Accepted.UNCLEAR
+        return next(verdict for verdict, word in WORDS.items() if word == reply.accepted)
+
+    async def phase(self, member: Member, id: str) -> JobPhase | None:
+        """Let another process look a job up.
+
+        :raises PhaseUnknown: when it can't either.
+        """
+        try:
+            reply = await self._pool.call(
+                member.address,
+                "phase",
+                RelayedPhase(job=id),
+                timeout_s=PHASE_S,
+                region=member.region,
+            )
+        except RpcError as exc:
+            raise PhaseUnknown(f"{member.name}: {exc}") from exc
+        if not reply.read:
+            raise PhaseUnknown(f"{member.name} can't read it either")
+        return JobPhase(reply.phase) if reply.phase is not None else None
+
+    async def cancel(self, member: Member, id: str, *, timeout_s: float) -> Cancelled:
+        """Let another process record a cancellation."""
+        req = RelayedCancel(job=id, timeout_ms=int((timeout_s - RETURN_S) * 1000))
+        try:
+            reply = await self._pool.call(
+                member.address, "cancel", req, timeout_s=timeout_s, region=member.region
+            )
+        except RpcError:
+            return Cancelled.NOT_NOW
+        if not reply.recorded:
+            return Cancelled.NOT_NOW
+        return Cancelled.YES if reply.known else Cancelled.UNKNOWN_JOB
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.close()
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -9,14 +9,13 @@
 from attrs import define, field, frozen
 from prometheus_client import Counter, Histogram
 
-from rhubarbferry.cell.acceptance import Acceptance, Accepted, Cancelled
+from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import Route, RouteTable
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
 from rhubarbferry.platform.job_forms import ID, JobFormError, parse_job
 from rhubarbferry.ports.clock import Clock
-from rhubarbferry.ports.store import StoreError
 
 ANSWERS = Counter(
     "rhubarbferry_client_answers_total", "Answers to clients", ["queue", "call", "status"]
@@ -94,7 +93,7 @@
 
     clock: Clock
     log: EventLog
-    acceptance: Acceptance
+    jobs: JobCalls
     routes: Callable[[], RouteTable | None]
     count_pending: CountPending
     closing: bool = False
@@ -194,7 +193,7 @@
             self.log.emit("job.not_accepted", job=id, reason=str(exc), outcome="malformed")
             return _problem(400, str(exc))
         record = JobRecord(req=req, queue=route.queue)
-        match await self.acceptance.submit(record, deadline=call.deadline):
+        match await self.jobs.submit(record, deadline=call.deadline):
             case Accepted.YES:
                 return Reply(status=200)
             case Accepted.NO:
@@ -204,8 +203,8 @@
 
     async def _state(self, id: str) -> Reply:
         try:
-            phase = await self.acceptance.phase(id)
-        except StoreError as exc:
+            phase = await self.jobs.phase(id)
+        except PhaseUnknown as exc:
             self.log.emit("job.not_read", job=id, reason=str(exc)[:200])
             return _problem(503, "the state can't be read now", retry=True)
         if phase is None:
@@ -213,7 +212,7 @@
         return Reply(status=200, body=json.dumps({"state": WORDS[phase]}).encode())
 
     async def _cancel(self, call: Call, id: str) -> Reply:
-        match await self.acceptance.cancel(id, deadline=call.deadline):
+        match await self.jobs.cancel(id, deadline=call.deadline):
             case Cancelled.YES:
                 return Reply(status=200)
             case Cancelled.UNKNOWN_JOB:
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -13,6 +13,7 @@
 from rhubarbferry.cell.candidate import Candidate
 from rhubarbferry.cell.configuration import ConfigurationFeed
 from rhubarbferry.cell.context import Surroundings
+from rhubarbferry.cell.detour import DetouredCalls
 from rhubarbferry.cell.lease import LeaseKeeper
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member
@@ -99,11 +100,25 @@
                 routes=lambda: self.feed.routes,
             )
         )
-        self.peer_server = PeerServer(policy=self.policy, count_pending=self._own_count)
+        acceptance = Acceptance(clock=self.clock, store=self.store, log=self.log)
+        self.peer_server = PeerServer(
+            clock=self.clock,
+            jobs=acceptance,
+            policy=self.policy,
+            count_pending=self._own_count,
+        )
         self.api = ClientApi(
             clock=self.clock,
             log=self.log,
-            acceptance=Acceptance(clock=self.clock, store=self.store, log=self.log),
+            jobs=DetouredCalls(
+                clock=self.clock,
+                log=self.log,
+                own=own,
+                view=self.view,
+                peers=self.peers,
+                direct=acceptance,
+                reached=lambda: self.store.reached,
+            ),
             routes=lambda: self.feed.routes,
             count_pending=self._count_pending,
         )
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -36,7 +36,7 @@
 # The store answers in 4 ms and, when slow, in up to 100 times that; one way adds 20 ms.
 CALL_S = 1.0
 # Beyond the time that a watch waits by itself.
-WATCH_SLACK_S = 0.8
+WATCH_SLACK_S = 0.6
 # Pages hold at most about 500 items; a listing of more pages than this is no listing of ours.
 MAX_PAGES = 400
 
@@ -50,6 +50,8 @@
     def __init__(self, *, address: str) -> None:
         self._base = f"http://{address}/api"
         self._http = JsonClient()
+        #: Whether the last call that ended was served.
+        self.reached = True
 
     async def get(self, key: str) -> KeyValue | None:
         """Return the key as of now, or ``None`` when there is none."""
@@ -164,13 +166,17 @@
     ) -> Answer:
         CALLS.labels(kind).inc()
         try:
-            return await self._http.call(
+            answer = await self._http.call(
                 method, f"{self._base}/{path}", timeout_s=timeout_s, body=body, query=query
             )
+            self.reached = answer.status not in (429, 503)
+            return answer
         except NotSent as exc:
+            self.reached = False
             FAILED.labels(kind, "not sent").inc()
             raise StoreUnavailable(f"the store was not reached: {exc}") from exc
         except NoAnswer as exc:
+            self.reached = False
             FAILED.labels(kind, "no answer").inc()
             raise StoreUnclear(f"no answer of the store: {exc}") from exc
 
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -27,8 +27,6 @@
 # An order is answered within one round trip (up to 46 ms); slow links and busy processes add
 # some hundred milliseconds. What takes longer is treated as unanswered.
 ORDER_S = 0.8
-# Beyond the time that a look waits by itself.
-HOLD_SLACK_S = 0.8
 EXPECT_HEADER = "Rhubarbferry-Expect-Instance"
 
 ENDS = {
@@ -66,7 +64,7 @@
         }
         if req.deadline_s is not None:
             body["deadlineMs"] = int(req.deadline_s * 1000)
-        timeout_s = req.wait_s + HOLD_SLACK_S
+        timeout_s = req.wait_s + req.patience_s
         answer = await self._call(self._looks, host, "hold", body, timeout_s=timeout_s)
         if answer.status != 200 or not isinstance(answer.body, dict):
             raise _error(answer)
--- a/rhubarbferry/ports/workers.py
+++ b/rhubarbferry/ports/workers.py
@@ -44,12 +44,14 @@
     :param deadline_s: on the host's clock, until when the leases run; ``None`` for no change.
     :param forget_to: highest number of an end that the host need not list any more.
     :param wait_s: the host answers early only when a run ends.
+    :param patience_s: beyond that, how long to wait for the answer.
     """
 
     fence: int
     deadline_s: float | None
     forget_to: int
     wait_s: float
+    patience_s: float
 
 
 class WorkerCalls(Protocol):
--- a/rhubarbferry/rpc/gen/Peer.py
+++ b/rhubarbferry/rpc/gen/Peer.py
@@ -29,6 +29,30 @@
         """
         pass
 
+    def submit(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
+    def phase(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
+    def cancel(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
     def pending(self, req):
         """
         Parameters:
@@ -85,6 +109,102 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "ping failed: unknown result")
 
+    def submit(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_submit(req)
+        return self.recv_submit()
+
+    def send_submit(self, req):
+        self._oprot.writeMessageBegin('submit', TMessageType.CALL, self._seqid)
+        args = submit_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_submit(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = submit_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "submit failed: unknown result")
+
+    def phase(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_phase(req)
+        return self.recv_phase()
+
+    def send_phase(self, req):
+        self._oprot.writeMessageBegin('phase', TMessageType.CALL, self._seqid)
+        args = phase_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_phase(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = phase_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "phase failed: unknown result")
+
+    def cancel(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_cancel(req)
+        return self.recv_cancel()
+
+    def send_cancel(self, req):
+        self._oprot.writeMessageBegin('cancel', TMessageType.CALL, self._seqid)
+        args = cancel_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_cancel(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = cancel_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "cancel failed: unknown result")
+
     def pending(self, req):
         """
         Parameters:
@@ -155,6 +275,9 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["ping"] = Processor.process_ping
+        self._processMap["submit"] = Processor.process_submit
+        self._processMap["phase"] = Processor.process_phase
+        self._processMap["cancel"] = Processor.process_cancel
         self._processMap["pending"] = Processor.process_pending
         self._processMap["ask_approval"] = Processor.process_ask_approval
         self._on_message_begin = None
@@ -202,6 +325,75 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_submit(self, seqid, iprot, oprot):
+        args = submit_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = submit_result()
+        try:
+            result.success = self._handler.submit(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("submit", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_phase(self, seqid, iprot, oprot):
+        args = phase_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = phase_result()
+        try:
+            result.success = self._handler.phase(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("phase", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_cancel(self, seqid, iprot, oprot):
+        args = cancel_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = cancel_result()
+        try:
+            result.success = self._handler.cancel(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("cancel", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_pending(self, seqid, iprot, oprot):
         args = pending_args()
         args.read(iprot)
@@ -292,6 +484,129 @@
 )
 
 
+class submit_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(submit_args)
+submit_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [RelayedSubmit, None], None, ),  # 1
+)
+
+
+class submit_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(submit_result)
+submit_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RelayedSubmitReply, None], None, ),  # 0
+)
+
+
+class phase_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(phase_args)
+phase_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [RelayedPhase, None], None, ),  # 1
+)
+
+
+class phase_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(phase_result)
+phase_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RelayedPhaseReply, None], None, ),  # 0
+)
+
+
+class cancel_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(cancel_args)
+cancel_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [RelayedCancel, None], None, ),  # 1
+)
+
+
+class cancel_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(cancel_result)
+cancel_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RelayedCancelReply, None], None, ),  # 0
+)
+
+
 class pending_args(TBase):
     """
     Attributes:
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -132,6 +132,13 @@
 
 
 
+class Acceptance(IntEnum):
+    ACCEPTED = 0
+    NOT_ACCEPTED = 1
+    UNCLEAR = 2
+
+
+
 class Resources(TBase):
     """
     Attributes:
@@ -2020,6 +2027,114 @@
         self.detail = detail
 
 
+class RelayedSubmit(TBase):
+    """
+    Attributes:
+     - record
+     - timeout_ms
+
+    """
+
+    __slots__ = (
+        'record',
+        'timeout_ms',
+    )
+
+
+    def __init__(self, record=None, timeout_ms=None,):
+        self.record = record
+        self.timeout_ms = timeout_ms
+
+
+class RelayedSubmitReply(TBase):
+    """
+    Attributes:
+     - accepted
+
+    """
+
+    __slots__ = (
+        'accepted',
+    )
+
+
+    def __init__(self, accepted=None,):
+        self.accepted = accepted
+
+
+class RelayedPhase(TBase):
+    """
+    Attributes:
+     - job
+
+    """
+
+    __slots__ = (
+        'job',
+    )
+
+
+    def __init__(self, job=None,):
+        self.job = job
+
+
+class RelayedPhaseReply(TBase):
+    """
+    Attributes:
+     - read
+     - phase
+
+    """
+
+    __slots__ = (
+        'read',
+        'phase',
+    )
+
+
+    def __init__(self, read=None, phase=None,):
+        self.read = read
+        self.phase = phase
+
+
+class RelayedCancel(TBase):
+    """
+    Attributes:
+     - job
+     - timeout_ms
+
+    """
+
+    __slots__ = (
+        'job',
+        'timeout_ms',
+    )
+
+
+    def __init__(self, job=None, timeout_ms=None,):
+        self.job = job
+        self.timeout_ms = timeout_ms
+
+
+class RelayedCancelReply(TBase):
+    """
+    Attributes:
+     - recorded
+     - known
+
+    """
+
+    __slots__ = (
+        'recorded',
+        'known',
+    )
+
+
+    def __init__(self, recorded=None, known=None,):
+        self.recorded = recorded
+        self.known = known
+
+
 class IntentBegun(TBase):
     """
     Attributes:
@@ -2870,6 +2985,40 @@
     (3, TType.I64, 'valid_ms', None, None, ),  # 3
     (4, TType.STRING, 'detail', 'UTF8', None, ),  # 4
 )
+all_structs.append(RelayedSubmit)
+RelayedSubmit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'record', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'timeout_ms', None, None, ),  # 2
+)
+all_structs.append(RelayedSubmitReply)
+RelayedSubmitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'accepted', None, None, ),  # 1
+)
+all_structs.append(RelayedPhase)
+RelayedPhase.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+)
+all_structs.append(RelayedPhaseReply)
+RelayedPhaseReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'read', None, None, ),  # 1
+    (2, TType.STRING, 'phase', 'UTF8', None, ),  # 2
+)
+all_structs.append(RelayedCancel)
+RelayedCancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'timeout_ms', None, None, ),  # 2
+)
+all_structs.append(RelayedCancelReply)
+RelayedCancelReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'recorded', None, None, ),  # 1
+    (2, TType.BOOL, 'known', None, None, ),  # 2
+)
 all_structs.append(IntentBegun)
 IntentBegun.thrift_spec = (
     None,  # 0
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -539,8 +539,22 @@
   3: required i64 valid_ms,
   4: optional string detail,
 }
+/* Job calls of clients, passed on by a process that the store turns away. */
+enum Acceptance { ACCEPTED = 0, NOT_ACCEPTED = 1, UNCLEAR = 2 }
+struct RelayedSubmit { 1: required binary record, 2: required i32 timeout_ms }
+struct RelayedSubmitReply { 1: required Acceptance accepted }
+struct RelayedPhase { 1: required string job }
+struct RelayedPhaseReply {
+  1: required bool read, /* whether the store could be read */
+  2: optional string phase, /* absent when there is no such job */
+}
+struct RelayedCancel { 1: required string job, 2: required i32 timeout_ms }
+struct RelayedCancelReply { 1: required bool recorded, 2: required bool known }
 service Peer {
   PingReply ping(1: PingRequest req),
+  RelayedSubmitReply submit(1: RelayedSubmit req),
+  RelayedPhaseReply phase(1: RelayedPhase req),
+  RelayedCancelReply cancel(1: RelayedCancel req),
   PendingReply pending(1: PendingRequest req),
   ApprovalReply ask_approval(1: ApprovalRequest req),
 }
