Hand the work over when the store turns its owner away

Cause: an owner that the store does not answer sees no new job until its lease ends, 1.5 to 2 s later. Change: it looks after 0.5 s for a process that is answered, stops, and lets that one replace its key.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -76,6 +76,18 @@
         except StoreError as exc:
             self.around.log.emit("member.not_removed", reason=str(exc)[:200])
 
+    async def take_over(self, fence: int) -> bool:
+        """Replace the key of an owner that asks for it; return whether that is done."""
+        lease = self.around.keeper.held()
+        if lease is None or self._draining or self.term is not None:
+            return False
+        self.around.log.emit("owner.asked_to_take_over", fence=fence)
+        try:
+            return await self._write_key(lease, replaces=fence) is not None
+        except StoreError as exc:
+            self.around.log.emit("owner.not_replaced", reason=str(exc)[:200])
+            return False
+
     async def _step(self) -> None:
         lease = self.around.keeper.held()
         if lease is None:
@@ -134,7 +146,14 @@
         await self._try_to_own(lease, replaces=0)
 
     async def _try_to_own(self, lease: Lease, *, replaces: int) -> None:
-        """Write the owner's key.
+        ownership = await self._write_key(lease, replaces=replaces)
+        self._audited_at = -AUDIT_S
+        if ownership is not None:
+            self.around.view.ownership = ownership
+            await self._own(ownership, lease)
+
+    async def _write_key(self, lease: Lease, *, replaces: int) -> Ownership | None:
+        """Write the owner's key; return the ownership if it was won.
 
         :param replaces: revision of the key that stands there, 0 for none.
         """
@@ -145,11 +164,9 @@
                 put=(Put(key=keys.OWNER, value=value, lease_id=lease.id),),
             )
         )
-        self._audited_at = -AUDIT_S
-        if isinstance(result, Committed):
-            ownership = Ownership(owner=self.around.own, fence=result.revision, lease_id=lease.id)
-            self.around.view.ownership = ownership
-            await self._own(ownership, lease)
+        if not isinstance(result, Committed):
+            return None
+        return Ownership(owner=self.around.own, fence=result.revision, lease_id=lease.id)
 
     async def _own(self, ownership: Ownership, lease: Lease) -> None:
         tenure = Tenure(keeper=self.around.keeper, lease_id=lease.id, fence=ownership.fence)
@@ -178,11 +195,22 @@
     async def _give_up(self, term: Term) -> None:
         tenure = term.tenure
         self.around.log.emit("term.ended", fence=tenure.fence, reason=tenure.ended or "left")
-        if not tenure.holds():
+        if await self._key_removed(term):
             return
+        # The key may still be there, under a lease that this process goes on to extend: then
+        # nobody would do the work. Without the lease the key ends within its time.
+        self.around.keeper.drop("its term of ownership has ended")
+
+    async def _key_removed(self, term: Term) -> bool:
+        """Remove the owner's key if this process may; return whether it is gone."""
+        tenure = term.tenure
+        if not tenure.holds():
+            return False
         await term.finish()
         tenure.end("given up")
         try:
             await self.around.store.commit(Txn(expect=(tenure.condition(),), delete=(keys.OWNER,)))
         except StoreError as exc:
             self.around.log.emit("owner.not_removed", reason=str(exc)[:200])
+            return False
+        return True
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -18,6 +18,8 @@
 # Taken off each term: the clocks of this host and the store may differ by 2 %.
 MARGIN_S = 0.1
 RETRY_S = 0.2
+# A renewal is answered within 50 ms, or 400 ms by a slow store, and one goes out each 0.3 s.
+FRESH_S = 0.5
 
 
 @define(kw_only=True, eq=False)
@@ -25,6 +27,7 @@
     """Open a lease and extend it until told to stop.
 
     :ivar changed: set whenever a lease is gained or lost.
+    :ivar answered_at: when the store last granted or extended it.
     """
 
     clock: Clock
@@ -32,6 +35,7 @@
     log: EventLog
     changed: asyncio.Event = field(factory=asyncio.Event)
     lease: Lease | None = None
+    answered_at: float = float("-inf")
     _incarnation: int = 0
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
@@ -40,6 +44,10 @@
         lease = self.lease
         return lease if lease is not None and lease.holds(self.clock.monotonic()) else None
 
+    def fresh(self) -> bool:
+        """Tell whether the store answered this process just now."""
+        return self.clock.monotonic() - self.answered_at < FRESH_S
+
     async def run(self) -> None:
         """Keep a lease until cancelled."""
         while True:
@@ -55,6 +63,11 @@
                 renewal.add_done_callback(self._renewals.discard)
                 await self.clock.sleep(RENEW_S)
 
+    def drop(self, reason: str) -> None:
+        """Give the lease up: it is not extended any more, and all that hangs on it ends."""
+        if self.lease is not None:
+            self._lost(reason)
+
     async def _grant(self) -> None:
         asked_at = self.clock.monotonic()
         try:
@@ -64,6 +77,7 @@
             await self.clock.sleep(RETRY_S)
             return
         self._incarnation += 1
+        self.answered_at = self.clock.monotonic()
         self.lease = Lease.granted(
             id=id,
             incarnation=self._incarnation,
@@ -84,6 +98,7 @@
         except StoreError as exc:
             self.log.emit("lease.not_extended", lease=lease.id, reason=str(exc))
         else:
+            self.answered_at = self.clock.monotonic()
             if self.lease is not None and self.lease.id == lease.id:
                 self.lease = self.lease.renewed(asked_at=asked_at, ttl_s=ttl_s)
 
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -35,6 +35,10 @@
     RelayedPhaseReply,
     RelayedSubmit,
     RelayedSubmitReply,
+    StoreReachReply,
+    StoreReachRequest,
+    TakeOverReply,
+    TakeOverRequest,
 )
 from rhubarbferry.rpc.pool import Pool
 from rhubarbferry.rpc.server import Server
@@ -43,6 +47,7 @@
 # Between processes a connection costs a beat each second; one that is silent for 2 s is replaced.
 PEER_TIMING = Timing(connect_s=0.5, heartbeat_s=1.0, silence_s=2.0)
 PENDING_S = 0.5
+REACH_S = 0.15
 # Both ways between regions, and the wait for a turn in the process that asks.
 HOP_S = 0.4
 
@@ -66,6 +71,8 @@
     :param policy: asked on behalf of the owner.
     :param count_pending: returns the jobs of a queue that wait, or ``None`` when this process
         does not own the work.
+    :param store_reached: whether the store answers this process now.
+    :param take_over: replaces the owner's key of the given revision by this process's own.
     """
 
     def __init__(
@@ -75,15 +82,21 @@
         jobs: JobCalls,
         policy: PolicyService | None,
         count_pending: CountPending,
+        store_reached: Callable[[], bool],
+        take_over: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._clock = clock
         self._jobs = jobs
         self._policy = policy
         self._count_pending = count_pending
+        self._store_reached = store_reached
+        self._take_over = take_over
         handlers: dict[str, Callable[..., Awaitable[object]]] = {
             "ping": self._ping,
             "pending": self._pending,
             "ask_approval": self._ask_approval,
+            "store_reach": self._reach,
+            "take_over": self._take,
             "submit": self._submit,
             "phase": self._phase,
             "cancel": self._cancel,
@@ -102,6 +115,12 @@
     async def _ping(self, req: PingRequest) -> PingReply:
         return PingReply()
 
+    async def _reach(self, req: StoreReachRequest) -> StoreReachReply:
+        return StoreReachReply(reached=self._store_reached())
+
+    async def _take(self, req: TakeOverRequest) -> TakeOverReply:
+        return TakeOverReply(taken=await self._take_over(req.fence))
+
     async def _pending(self, req: PendingRequest) -> PendingReply:
         count = self._count_pending(req.queue)
         return PendingReply(owner=count is not None, pending=count or 0)
@@ -200,6 +219,34 @@
             valid_s=reply.valid_ms / 1000,
         )
 
+    async def store_reached(self, member: Member) -> bool:
+        """Tell whether another process is answered by the store."""
+        try:
+            reply = await self._pool.call(
+                member.address,
+                "store_reach",
+                StoreReachRequest(),
+                timeout_s=REACH_S,
+                region=member.region,
+            )
+        except RpcError:
+            return False
+        return reply.reached
+
+    async def take_over(self, member: Member, fence: int) -> bool:
+        """Ask another process to replace the owner's key; it may do so though none answers."""
+        try:
+            reply = await self._pool.call(
+                member.address,
+                "take_over",
+                TakeOverRequest(fence=fence),
+                timeout_s=PENDING_S,
+                region=member.region,
+            )
+        except RpcError:
+            return False
+        return reply.taken
+
     async def submit(self, member: Member, record: JobRecord, *, timeout_s: float) -> Accepted:
         """Let another process accept a job."""
         req = RelayedSubmit(
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -15,6 +15,7 @@
 from rhubarbferry.cell.host_watch import HostWatch
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.lease import TTL_S
+from rhubarbferry.cell.members import Member
 from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.cell.roster import Roster
 from rhubarbferry.dispatch.dispatcher import Dispatcher
@@ -41,6 +42,8 @@
 # Waiting steps are looked at anew this often, should a change have been missed.
 REVIEW_S = 1.0
 RETRY_S = 0.2
+# Between two looks at whether the store still answers this process.
+REACH_LOOK_S = 0.1
 # A host of the roster gets no new task before the host list has shown its capacity.
 _NO_ROOM = Sizes()
 
@@ -92,6 +95,7 @@
                 self._spawn(self._inbox.run())
                 self._spawn(self._recorder.run())
                 self._spawn(self._follow_directory())
+                self._spawn(self._hand_over_if_cut_off())
                 await self._decide_forever()
         except* OwnershipLost as lost:
             self.tenure.end(str(lost.exceptions[0]))
@@ -125,6 +129,25 @@
             hosts=len(succession.unheard),
         )
 
+    async def _hand_over_if_cut_off(self) -> None:
+        """Give the work to a process that reaches the store, when this one does not.
+
+        The store may turn this process away while it serves others. New jobs are then not seen
+        here, and without a hand-over nobody starts them until the lease has ended.
+        """
+        while True:
+            await asyncio.sleep(REACH_LOOK_S)
+            if self.around.keeper.fresh():
+                continue
+            for member in self._members():
+                if member.name == self.around.own.name:
+                    continue
+                if await self.around.peers.store_reached(member):
+                    # From here on this process must not act, whatever the other one answers.
+                    self.tenure.end(f"the store does not answer; handing over to {member.name}")
+                    await self.around.peers.take_over(member, self.tenure.fence)
+                    self.tenure.check()
+
     # ------------------------------------------------------------ hosts
 
     async def _follow_directory(self) -> None:
@@ -224,7 +247,7 @@
         if dispatcher.dirty:
             self.ctx.record.set()
 
-    def _members(self) -> list:
+    def _members(self) -> list[Member]:
         members = dict(self.around.view.members)
         members.setdefault(self.around.own.name, self.around.own)
         return list(members.values())
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -106,6 +106,8 @@
             jobs=acceptance,
             policy=self.policy,
             count_pending=self._own_count,
+            store_reached=lambda: self.keeper.fresh() and self.store.reached,
+            take_over=self.candidate.take_over,
         )
         self.api = ClientApi(
             clock=self.clock,
--- a/rhubarbferry/rpc/gen/Peer.py
+++ b/rhubarbferry/rpc/gen/Peer.py
@@ -29,6 +29,22 @@
         """
         pass
 
+    def store_reach(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
+    def take_over(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
     def submit(self, req):
         """
         Parameters:
@@ -109,6 +125,70 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "ping failed: unknown result")
 
+    def store_reach(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_store_reach(req)
+        return self.recv_store_reach()
+
+    def send_store_reach(self, req):
+        self._oprot.writeMessageBegin('store_reach', TMessageType.CALL, self._seqid)
+        args = store_reach_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_store_reach(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = store_reach_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "store_reach failed: unknown result")
+
+    def take_over(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_take_over(req)
+        return self.recv_take_over()
+
+    def send_take_over(self, req):
+        self._oprot.writeMessageBegin('take_over', TMessageType.CALL, self._seqid)
+        args = take_over_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_take_over(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = take_over_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "take_over failed: unknown result")
+
     def submit(self, req):
         """
         Parameters:
@@ -275,6 +355,8 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["ping"] = Processor.process_ping
+        self._processMap["store_reach"] = Processor.process_store_reach
+        self._processMap["take_over"] = Processor.process_take_over
         self._processMap["submit"] = Processor.process_submit
         self._processMap["phase"] = Processor.process_phase
         self._processMap["cancel"] = Processor.process_cancel
@@ -325,6 +407,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_store_reach(self, seqid, iprot, oprot):
+        args = store_reach_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = store_reach_result()
+        try:
+            result.success = self._handler.store_reach(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("store_reach", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_take_over(self, seqid, iprot, oprot):
+        args = take_over_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = take_over_result()
+        try:
+            result.success = self._handler.take_over(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("take_over", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_submit(self, seqid, iprot, oprot):
         args = submit_args()
         args.read(iprot)
@@ -484,6 +612,88 @@
 )
 
 
+class store_reach_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(store_reach_args)
+store_reach_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [StoreReachRequest, None], None, ),  # 1
+)
+
+
+class store_reach_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(store_reach_result)
+store_reach_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [StoreReachReply, None], None, ),  # 0
+)
+
+
+class take_over_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(take_over_args)
+take_over_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [TakeOverRequest, None], None, ),  # 1
+)
+
+
+class take_over_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(take_over_result)
+take_over_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [TakeOverReply, None], None, ),  # 0
+)
+
+
 class submit_args(TBase):
     """
     Attributes:
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -2135,6 +2135,70 @@
         self.known = known
 
 
+class StoreReachRequest(TBase):
+    """
+    Attributes:
+     - sender
+
+    """
+
+    __slots__ = (
+        'sender',
+    )
+
+
+    def __init__(self, sender=None,):
+        self.sender = sender
+
+
+class StoreReachReply(TBase):
+    """
+    Attributes:
+     - reached
+
+    """
+
+    __slots__ = (
+        'reached',
+    )
+
+
+    def __init__(self, reached=None,):
+        self.reached = reached
+
+
+class TakeOverRequest(TBase):
+    """
+    Attributes:
+     - fence
+
+    """
+
+    __slots__ = (
+        'fence',
+    )
+
+
+    def __init__(self, fence=None,):
+        self.fence = fence
+
+
+class TakeOverReply(TBase):
+    """
+    Attributes:
+     - taken
+
+    """
+
+    __slots__ = (
+        'taken',
+    )
+
+
+    def __init__(self, taken=None,):
+        self.taken = taken
+
+
 class IntentBegun(TBase):
     """
     Attributes:
@@ -3019,6 +3083,26 @@
     (1, TType.BOOL, 'recorded', None, None, ),  # 1
     (2, TType.BOOL, 'known', None, None, ),  # 2
 )
+all_structs.append(StoreReachRequest)
+StoreReachRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+)
+all_structs.append(StoreReachReply)
+StoreReachReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'reached', None, None, ),  # 1
+)
+all_structs.append(TakeOverRequest)
+TakeOverRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fence', None, None, ),  # 1
+)
+all_structs.append(TakeOverReply)
+TakeOverReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
+)
 all_structs.append(IntentBegun)
 IntentBegun.thrift_spec = (
     None,  # 0
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -550,8 +550,15 @@
 }
 struct RelayedCancel { 1: required string job, 2: required i32 timeout_ms }
 struct RelayedCancelReply { 1: required bool recorded, 2: required bool known }
+/* An owner that the store has stopped answering looks for one that it answers. */
+struct StoreReachRequest { 1: optional string sender }
+struct StoreReachReply { 1: required bool reached }
+struct TakeOverRequest { 1: required i64 fence /* revision of the owner's key */ }
+struct TakeOverReply { 1: required bool taken }
 service Peer {
   PingReply ping(1: PingRequest req),
+  StoreReachReply store_reach(1: StoreReachRequest req),
+  TakeOverReply take_over(1: TakeOverRequest req),
   RelayedSubmitReply submit(1: RelayedSubmit req),
   RelayedPhaseReply phase(1: RelayedPhase req),
   RelayedCancelReply cancel(1: RelayedCancel req),
