Send the store fewer calls: gather records, remove requests in batches, none in an outage

Cause: each change of a job was written by itself, each removal woke the owner's watch, and in an outage every client's call became up to three calls to the store. Change: only ends of jobs are written at once, requests of ended jobs are removed in batches, a process that the store does not answer refuses at once and says when to come back by the job's slack, and an outcome that is not known breaks the connection off instead of an answer 504.

--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from attrs import define
 
@@ -22,6 +23,7 @@
     Expect,
     Put,
     StoreError,
+    StoreUnavailable,
     StoreUnclear,
     Txn,
     TxnStore,
@@ -35,11 +37,16 @@
 
 @define(kw_only=True, eq=False)
 class Acceptance:
-    """Clients' jobs in the store. It needs no owner: any process accepts at any time."""
+    """Clients' jobs in the store. It needs no owner: any process accepts at any time.
+
+    :param reached: tells whether the store answers this process now. While it does not, calls
+        that would only fail are not sent: in an outage they would multiply, and be paid for.
+    """
 
     clock: Clock
     store: TxnStore
     log: EventLog
+    reached: Callable[[], bool]
 
     async def submit(self, record: JobRecord, *, deadline: float) -> Accepted:
         """Accept a job for good, or say truthfully what is known.
@@ -62,6 +69,7 @@
         reason = ""
         while True:
             try:
+                self._check_reached()
                 result = await self.store.commit(txn)
             except StoreError as exc:
                 unclear = unclear or isinstance(exc, StoreUnclear)
@@ -89,6 +97,7 @@
     async def phase(self, id: str) -> JobPhase | None:
         """Return the phase of a job, or ``None`` when there is no such job."""
         try:
+            self._check_reached()
             return await self._read(id)
         except StoreError as exc:
             raise PhaseUnknown(str(exc)[:200]) from exc
@@ -97,6 +106,7 @@
         """Record that a job is to be stopped; the owner of the work sees it there."""
         while True:
             try:
+                self._check_reached()
                 phase = await self._read(id)
                 if phase is None:
                     return Cancelled.UNKNOWN_JOB
@@ -111,6 +121,10 @@
                 return Cancelled.NOT_NOW
             await asyncio.sleep(RETRY_S)
 
+    def _check_reached(self) -> None:
+        if not self.reached():
+            raise StoreUnavailable("the store does not answer this process now")
+
     def _cancellation(self, id: str) -> Txn:
         return Txn(put=(Put(key=keys.CANCELS + id, value=b"{}"),))
 
--- /dev/null
+++ b/rhubarbferry/cell/cleaner.py
@@ -0,0 +1,74 @@
+"""Remove from the store what nobody needs any more."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.context import OwnershipLost, TermContext
+from rhubarbferry.ports.store import Conflict, StoreError, Txn
+
+# Removals are gathered for this long: each change of a watched key costs the owner a call.
+GATHER_S = 2.0
+# A transaction takes 32 entries, the owner's key among them, and a job has two keys to remove.
+JOBS_PER_TXN = 15
+STATES_PER_TXN = 30
+# An ended job is known for longer than the surroundings demand, so that a submission or a write
+# that arrives late still finds it and can't bring it back to life.
+EXTRA_S = 60.0
+
+
+@define(kw_only=True, eq=False)
+class Cleaner:
+    """Removes the requests of ended jobs soon, and their states after the time of grace."""
+
+    ctx: TermContext
+    _ended_at: dict[str, float] = field(factory=dict)
+
+    async def run(self, known: Iterable[str]) -> None:
+        """Clean until cancelled.
+
+        :param known: jobs on record at the takeover; those that have ended did so before now.
+
+        :raises OwnershipLost: when another process owns the work.
+        """
+        now = self.ctx.now()
+        jobs = self.ctx.dispatcher.jobs
+        self._ended_at = {id: now for id in known if id not in jobs}
+        while True:
+            await asyncio.sleep(GATHER_S)
+            try:
+                await self._remove_requests()
+                await self._remove_states()
+            except StoreError as exc:
+                self.ctx.around.log.emit("store.not_cleaned", reason=str(exc)[:200])
+
+    async def _remove_requests(self) -> None:
+        removable = self.ctx.removable
+        while removable:
+            ids = removable[:JOBS_PER_TXN]
+            names = [prefix + id for id in ids for prefix in (keys.JOBS, keys.CANCELS)]
+            await self._remove(names)
+            del removable[: len(ids)]
+            now = self.ctx.now()
+            for id in ids:
+                self._ended_at.setdefault(id, now)
+
+    async def _remove_states(self) -> None:
+        before = self.ctx.now() - self.ctx.around.cfg.bounds.status_s - EXTRA_S
+        old = [id for id, at in self._ended_at.items() if at < before]
+        for start in range(0, len(old), STATES_PER_TXN):
+            ids = old[start : start + STATES_PER_TXN]
+            await self._remove([keys.STATES + id for id in ids])
+            for id in ids:
+                del self._ended_at[id]
+                self.ctx.dispatcher.ended.discard(id)
+
+    async def _remove(self, names: list[str]) -> None:
+        txn = Txn(expect=(self.ctx.tenure.condition(),), delete=tuple(names))
+        if isinstance(await self.ctx.around.store.commit(txn), Conflict):
+            self.ctx.tenure.end("another process has taken over")
+            raise OwnershipLost("another process has taken over")
--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -17,7 +17,7 @@
 WATCH_S = 1.2
 # A watch may miss changes without saying so; a read of the key now and then finds them.
 AUDIT_S = 2.0
-RETRY_S = 0.15
+RETRY_S = 0.3
 
 Decode = Callable[[bytes, int], RouteTable | None]
 
--- a/rhubarbferry/cell/context.py
+++ b/rhubarbferry/cell/context.py
@@ -82,6 +82,8 @@
 
     :ivar wake: set when there may be something to decide.
     :ivar record: set when there may be something to write.
+    :ivar job_ended: set when a job has ended, which its client waits to be told.
+    :ivar removable: jobs on record as ended whose requests can be removed.
     """
 
     around: Surroundings
@@ -89,6 +91,16 @@
     dispatcher: Dispatcher
     wake: asyncio.Event = field(factory=asyncio.Event)
     record: asyncio.Event = field(factory=asyncio.Event)
+    job_ended: asyncio.Event = field(factory=asyncio.Event)
+    removable: list[str] = field(factory=list)
+
+    def note_changes(self) -> None:
+        """Have what has changed about jobs written."""
+        dirty = self.dispatcher.dirty
+        if dirty:
+            self.record.set()
+        if any(job.phase.final for job in dirty.values()):
+            self.job_ended.set()
 
     def now(self) -> float:
         """Return the time."""
--- a/rhubarbferry/cell/detour.py
+++ b/rhubarbferry/cell/detour.py
@@ -39,7 +39,7 @@
     The store may turn single processes away, silently or not, while it serves the others. Their
     clients would be refused, or wait in vain for their whole time, though the cell is well.
 
-    :param reached: tells whether the store answered this process's last call.
+    :param reached: tells whether the store answers this process now.
     """
 
     clock: Clock
--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -18,11 +18,12 @@
 # How long a look waits for an end. Shorter finds a silent host sooner, longer costs fewer calls.
 LOOK_S = 0.7
 # After a look that failed.
-RETRY_S = 0.25
+RETRY_S = 0.1
 # While ends are not yet on record the host would answer at once each time.
 UNRECORDED_PAUSE_S = 0.12
-# How long to wait for an answer, over the time that the look itself takes.
-PATIENCE_S = 0.8
+# How long to wait for an answer, over the time that the look itself takes: some round trips
+# between regions (46 ms), or one packet sent anew.
+PATIENCE_S = 0.4
 # A new owner starts no inherited task before each host has answered once. One lost answer must
 # not hold all of them up, so the first look is sent again soon.
 FIRST_PATIENCE_S = 0.25
@@ -48,14 +49,20 @@
             elif host.seen_end > host.recorded_end:
                 await asyncio.sleep(UNRECORDED_PAUSE_S)
 
-    async def _look(self, host: Host) -> bool:
+    async def glance(self) -> None:
+        """Look once, without waiting for an end."""
+        host = self.ctx.dispatcher.tracker.hosts.get(self.id)
+        if host is not None and self.ctx.tenure.holds():
+            await self._look(host, at_once=True)
+
+    async def _look(self, host: Host, *, at_once: bool = False) -> bool:
         ctx = self.ctx
         sent_at = ctx.now()
         entry = host.entry
         deadline_s = host.hold(sent_at, ctx.around.cfg.bounds.task_lease_s)
         # Ends beyond `forget_to` are listed at once; so there is no use in a wait while some
         # are not on record. The first look only learns the host's clock.
-        at_once = deadline_s is None or host.seen_end > host.recorded_end
+        at_once = at_once or deadline_s is None or host.seen_end > host.recorded_end
         req = HoldRequest(
             fence=ctx.tenure.fence,
             deadline_s=deadline_s,
@@ -91,7 +98,8 @@
                 ended=len(report.ended),
                 fence=ctx.tenure.fence,
             )
-        if host.seen_end > host.recorded_end or ctx.dispatcher.dirty:
+        if host.seen_end > host.recorded_end:
             ctx.record.set()
+        ctx.note_changes()
         ctx.wake.set()
         return True
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from attrs import Factory, define, evolve
+from attrs import define, evolve
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import OwnershipLost, TermContext
@@ -21,7 +21,6 @@
     KeyValue,
     Listing,
     StoreError,
-    Txn,
     WatchBroken,
 )
 
@@ -31,21 +30,19 @@
 # finds them; it costs one reading call.
 AUDIT_S = 2.0
 RETRY_S = 0.1
-# A transaction takes 32 entries, the owner's key among them.
-KEYS_PER_TXN = 30
 
 
 @define(kw_only=True, eq=False)
 class Inbox:
     """Feeds the dispatcher from the store.
 
+    :ivar states: the jobs whose state was on record then, ended ones among them.
     :ivar loaded: whether all that was on record at the takeover has been read.
-    :ivar stale_cancels: cancellations of jobs that had ended, to be removed.
     """
 
     ctx: TermContext
     loaded: bool = False
-    stale_cancels: list[KeyValue] = Factory(list)
+    states: tuple[str, ...] = ()
     _revision: int = 0
     _audited_at: float = 0.0
 
@@ -62,6 +59,7 @@
         }
         listing = await store.list(keys.CELL)
         self._take_listing(listing, states)
+        self.states = tuple(states)
         self.loaded = True
 
     async def run(self) -> None:
@@ -83,7 +81,6 @@
         store = self.ctx.around.store
         if self.ctx.now() - self._audited_at >= AUDIT_S:
             self._take_listing(await store.list(keys.CELL), {})
-            await self._remove_stale_cancels()
         changes = await store.changes(keys.CELL, after=self._revision, wait_s=WATCH_S)
         self.ctx.around.view.apply(changes.events)
         for event in changes.events:
@@ -125,7 +122,8 @@
     def _job(self, kv: KeyValue, states: dict[str, KeyValue]) -> None:
         id = kv.key.removeprefix(keys.JOBS)
         # A listing may be older than the end of a job that it shows.
-        if id in self.ctx.dispatcher.jobs or id in self.ctx.dispatcher.ended:
+        dispatcher = self.ctx.dispatcher
+        if id in dispatcher.jobs or id in dispatcher.ended:
             return
         inherited = kv.mod_revision < self.ctx.tenure.fence
         state = states.get(id)
@@ -142,6 +140,9 @@
             self.ctx.around.log.emit("job.unreadable", job=id, reason=str(exc))
             return
         if job.phase.final:
+            # The owner before has recorded its end and not yet removed the request.
+            self.ctx.dispatcher.ended.add(id)
+            self.ctx.removable.append(id)
             return
         wall_s = self.ctx.around.clock.wall()
         self.ctx.dispatcher.add_job(job, now=self.ctx.now(), wall_s=wall_s)
@@ -176,20 +177,11 @@
     def _cancel(self, kv: KeyValue) -> None:
         id = kv.key.removeprefix(keys.CANCELS)
         if id in self.ctx.dispatcher.jobs:
-            # The key goes with the record of the job's end. Removed any earlier, a crash
+            # The key goes after the job's end is on record. Removed any earlier, a crash
             # between the two would bring the job back to life.
             self.ctx.dispatcher.cancel_job(id)
             outcome = "stopping"
         else:
-            self.stale_cancels.append(kv)
+            self.ctx.removable.append(id)
             outcome = "had ended"
         self.ctx.around.log.emit("job.cancelled", job=id, revision=kv.mod_revision, outcome=outcome)
-
-    async def _remove_stale_cancels(self) -> None:
-        stale, self.stale_cancels = self.stale_cancels, []
-        for start in range(0, len(stale), KEYS_PER_TXN):
-            names = tuple(kv.key for kv in stale[start : start + KEYS_PER_TXN])
-            # A key that stays is found again by the next whole read.
-            await self.ctx.around.store.commit(
-                Txn(expect=(self.ctx.tenure.condition(),), delete=names)
-            )
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from attrs import define, frozen
 from prometheus_client import Counter, Histogram
@@ -28,12 +29,14 @@
     buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
 )
 
-# A transaction takes 32 entries: the owner's key, and for each job a condition, a write and, once
-# it has ended, the removal of its request and of its cancellation.
-JOBS_PER_TXN = 7
-# Changes within this time share a transaction. It is added to what clients wait for an ended job,
-# and bounds the calls to 50 a second and owner.
+# A transaction takes 32 entries: the owner's key, and for each job a condition and a write.
+JOBS_PER_TXN = 15
+# Ends of jobs within this time share a transaction. It is added to what clients wait for an ended
+# job, and bounds the calls to 50 a second.
 GATHER_S = 0.02
+# Other changes wait this long for company: nobody is told of them, and the hosts keep the ends
+# until they are on record.
+PATIENCE_S = 0.15
 RETRY_S = 0.15
 
 
@@ -59,11 +62,14 @@
         """
         while True:
             await self.ctx.record.wait()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.ctx.job_ended.wait(), PATIENCE_S)
+            await asyncio.sleep(GATHER_S)
             self.ctx.record.clear()
+            self.ctx.job_ended.clear()
             if not await self.flush():
                 self.ctx.record.set()
                 await asyncio.sleep(RETRY_S)
-            await asyncio.sleep(GATHER_S)
 
     async def flush(self) -> bool:
         """Write all that is dirty now; return whether all of it stands in the store."""
@@ -95,15 +101,11 @@
         self.ctx.tenure.check()
         expect = [self.ctx.tenure.condition()]
         put = []
-        delete = []
         for shot in group:
             key = keys.STATES + shot.job.id
             expect.append(Expect(key=key, revision=shot.job.record_revision))
             put.append(Put(key=key, value=shot.value))
-            if shot.final:
-                delete.append(keys.JOBS + shot.job.id)
-                delete.append(keys.CANCELS + shot.job.id)
-        txn = Txn(expect=tuple(expect), put=tuple(put), delete=tuple(delete))
+        txn = Txn(expect=tuple(expect), put=tuple(put))
         try:
             result = await self.ctx.around.store.commit(txn)
         except StoreError as exc:
@@ -134,6 +136,7 @@
             )
             if shot.final:
                 self.ctx.dispatcher.recorded(shot.job)
+                self.ctx.removable.append(shot.job.id)
 
     def _conflict(self, group: list[_Snapshot], conflict: Conflict) -> None:
         owner = conflict.items.get(keys.OWNER)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -10,6 +10,7 @@
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.advice_desk import AdviceDesk, Assignment
+from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.context import OwnershipLost, Surroundings, Tenure, TermContext
 from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.host_watch import HostWatch
@@ -28,6 +29,7 @@
     Sizes,
     StartOrder,
     StopOrder,
+    Unanswered,
 )
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.ports.store import StoreError
@@ -94,6 +96,7 @@
             async with asyncio.TaskGroup() as self._tasks:
                 self._spawn(self._inbox.run())
                 self._spawn(self._recorder.run())
+                self._spawn(Cleaner(ctx=self.ctx).run(self._inbox.states))
                 self._spawn(self._follow_directory())
                 self._spawn(self._hand_over_if_cut_off())
                 await self._decide_forever()
@@ -244,8 +247,7 @@
             self._carry_out(order)
         for assignment in self._desk.assign(self._members()):
             self._spawn(self._ask(assignment))
-        if dispatcher.dirty:
-            self.ctx.record.set()
+        self.ctx.note_changes()
 
     def _members(self) -> list[Member]:
         members = dict(self.around.view.members)
@@ -272,6 +274,28 @@
         self._log.start(order, result, took_s=now - sent_at, fence=self.tenure.fence)
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
         self.ctx.wake.set()
+        if isinstance(result, Unanswered):
+            await self._settle(order)
+
+    async def _settle(self, order: StartOrder) -> None:
+        """Find out what has become of a start without an answer.
+
+        It may have been carried out, or may be, some seconds later. Until that is known its task
+        can't start elsewhere. A look shows it if it runs; if not, a stop keeps it from starting
+        later, and a second look shows which of the two came first.
+        """
+        watch = HostWatch(ctx=self.ctx, id=order.host)
+        await watch.glance()
+        if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
+            await self._stop(
+                StopOrder(
+                    host=order.host,
+                    task=order.task,
+                    attempt=order.attempt,
+                    reason="its start was not answered",
+                )
+            )
+            await watch.glance()
 
     async def _stop(self, order: StopOrder) -> None:
         host = self.ctx.dispatcher.tracker.hosts.get(order.host)
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -164,6 +164,12 @@
         if host is not None and run is not None:
             self._apply(self.tracker.start_answered(host, run, result, now=now), now)
 
+    def unclear(self, id: str, task: TaskId, attempt: int) -> bool:
+        """Tell whether it is still open what has become of a start."""
+        host = self.tracker.hosts.get(id)
+        run = host.runs.get((task, attempt)) if host is not None else None
+        return run is not None and run.phase is RunPhase.UNCLEAR
+
     def stop_answered(self, id: str, task: TaskId, attempt: int, clock_s: float) -> None:
         """Note that a host took a stop."""
         host = self.tracker.hosts.get(id)
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -30,7 +30,7 @@
 STOP_AGAIN_S = 0.7
 # A host that answered an order late or not at all gets no new tasks for this long, so that one
 # bad host does not take every task that is tried there.
-UNANSWERED_PAUSE_S = 1.0
+UNANSWERED_PAUSE_S = 0.3
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/frontend/http.py
+++ b/rhubarbferry/frontend/http.py
@@ -12,6 +12,9 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_HEADERS = 200
 GATHERED_BYTES = 64 * 1024
+# Name in the scope of a request: breaks its connection off without an answer. Each answer would
+# say something about the request, which is wrong while its outcome is not known.
+ABORT = "rhubarbferry.abort"
 
 
 class GatheringTransport(asyncio.Transport):
@@ -113,6 +116,12 @@
             raise ValueError("headers too large")
         super().on_header(name, value)
 
+    def on_headers_complete(self) -> None:
+        """Begin a request, and let the application break its connection off."""
+        super().on_headers_complete()
+        scope: dict[str, Any] = self.scope  # type: ignore[assignment]
+        scope[ABORT] = self.transport.abort
+
     def send_400_response(self, msg: str) -> None:
         """Answer and close the connection."""
         # An error within a body: its request may have been passed on in part already.
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -14,6 +14,7 @@
 from rhubarbferry.cell.routes import Route, RouteTable
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
+from rhubarbferry.frontend.http import ABORT
 from rhubarbferry.platform.job_forms import ID, JobFormError, parse_job
 from rhubarbferry.ports.clock import Clock
 
@@ -27,9 +28,12 @@
     buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
 )
 
-# When a client that was turned away should come back. The store's short troubles end within a
-# second or are longer than a client's few retries; this spreads the retries over both.
+# When a client that was turned away should come back, in seconds: at least, at most, and as a
+# share of its job's objective. Outages of the store last some seconds, and clients try about four
+# times more.
 RETRY_AFTER_S = 1
+LONGEST_RETRY_AFTER_S = 3
+RETRY_SHARE = 0.2
 DEADLINE_HEADER = b"rhubarbferry-deadline-ms"
 # Where a client does not say how long it waits.
 DEFAULT_DEADLINE_S = 3.0
@@ -76,9 +80,21 @@
     """The client closed its connection before its request was whole."""
 
 
-def _problem(status: int, text: str, *, retry: bool = False) -> Reply:
+def _problem(status: int, text: str, *, retry_s: int | None = None) -> Reply:
     body = json.dumps({"error": text}).encode()
-    return Reply(status=status, body=body, retry_after_s=RETRY_AFTER_S if retry else None)
+    return Reply(status=status, body=body, retry_after_s=retry_s)
+
+
+def _come_back_after(record: JobRecord) -> int:
+    """Return after how many seconds a job that was turned away is best handed in again.
+
+    Clients try a few times only. A job with much time until its objective gains from tries that
+    are further apart, since more outages are over by then; one with little time is worth most
+    when it comes back soon.
+    """
+    chain_s = sum(step.estimate_s for step in record.req.steps)
+    objective_s = record.queue.slack_factor * chain_s + record.queue.objective_s
+    return round(min(max(objective_s * RETRY_SHARE, RETRY_AFTER_S), LONGEST_RETRY_AFTER_S))
 
 
 @define(kw_only=True, eq=False)
@@ -108,11 +124,14 @@
         try:
             try:
                 call = await self._read(scope, receive, begun)
-                reply = await self._answer(call)
+                reply: Reply | None = await self._answer(call)
             except _TooLarge:
                 reply = _problem(413, "the body is too large")
             except _ClientGone:
                 return
+            if reply is None:
+                scope[ABORT]()
+                return
             await self._send(send, reply)
         finally:
             self.in_progress -= 1
@@ -159,19 +178,21 @@
         await send({"type": "http.response.start", "status": reply.status, "headers": headers})
         await send({"type": "http.response.body", "body": reply.body})
 
-    async def _answer(self, call: Call) -> Reply:
+    async def _answer(self, call: Call) -> Reply | None:
+        """Return the answer; ``None`` when nothing true can be said."""
         routes = self.routes()
         if routes is None:
-            return _problem(503, "no configuration has been read yet", retry=True)
+            return _problem(503, "no configuration has been read yet", retry_s=RETRY_AFTER_S)
         route = routes.match(call.host, call.path)
         if route is None:
             ANSWERS.labels("", call.method, 404).inc()
             return _problem(404, "no such queue")
         reply = await self._serve(call, route)
-        ANSWERS.labels(route.queue.name, call.method, reply.status).inc()
+        status = reply.status if reply is not None else "none"
+        ANSWERS.labels(route.queue.name, call.method, status).inc()
         return reply
 
-    async def _serve(self, call: Call, route: Route) -> Reply:
+    async def _serve(self, call: Call, route: Route) -> Reply | None:
         id = call.path[len(route.prefix) :]
         if not id and call.method == "GET":
             return await self._pending(route)
@@ -186,7 +207,7 @@
                 return await self._cancel(call, id)
         return _problem(405, "POST, GET or DELETE is needed")
 
-    async def _submit(self, call: Call, route: Route, id: str) -> Reply:
+    async def _submit(self, call: Call, route: Route, id: str) -> Reply | None:
         try:
             req = parse_job(id, route.queue.name, call.body)
         except JobFormError as exc:
@@ -197,16 +218,18 @@
             case Accepted.YES:
                 return Reply(status=200)
             case Accepted.NO:
-                return _problem(503, "not accepted; the job will not run", retry=True)
-        # The write may yet take effect, so nothing may be said that denies it.
-        return _problem(504, "it is not known whether the job was accepted")
+                after_s = _come_back_after(record)
+                return _problem(503, "not accepted; the job will not run", retry_s=after_s)
+        # The write may yet take effect, so nothing may be said that denies it. A client whose
+        # connection breaks hands the same job in again, and is told then.
+        return None
 
     async def _state(self, id: str) -> Reply:
         try:
             phase = await self.jobs.phase(id)
         except PhaseUnknown as exc:
             self.log.emit("job.not_read", job=id, reason=str(exc)[:200])
-            return _problem(503, "the state can't be read now", retry=True)
+            return _problem(503, "the state can't be read now", retry_s=RETRY_AFTER_S)
         if phase is None:
             return _problem(410, "no such job")
         return Reply(status=200, body=json.dumps({"state": WORDS[phase]}).encode())
@@ -217,10 +240,10 @@
                 return Reply(status=200)
             case Cancelled.UNKNOWN_JOB:
                 return _problem(410, "no such job")
-        return _problem(503, "not cancelled", retry=True)
+        return _problem(503, "not cancelled", retry_s=RETRY_AFTER_S)
 
     async def _pending(self, route: Route) -> Reply:
         count = await self.count_pending(route.queue.name)
         if count is None:
-            return _problem(503, "the count is not known now", retry=True)
+            return _problem(503, "the count is not known now", retry_s=RETRY_AFTER_S)
         return Reply(status=200, body=json.dumps({"pending": count}).encode())
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -100,13 +100,15 @@
                 routes=lambda: self.feed.routes,
             )
         )
-        acceptance = Acceptance(clock=self.clock, store=self.store, log=self.log)
+        acceptance = Acceptance(
+            clock=self.clock, store=self.store, log=self.log, reached=self.keeper.fresh
+        )
         self.peer_server = PeerServer(
             clock=self.clock,
             jobs=acceptance,
             policy=self.policy,
             count_pending=self._own_count,
-            store_reached=lambda: self.keeper.fresh() and self.store.reached,
+            store_reached=self.keeper.fresh,
             take_over=self.candidate.take_over,
         )
         self.api = ClientApi(
@@ -119,7 +121,7 @@
                 view=self.view,
                 peers=self.peers,
                 direct=acceptance,
-                reached=lambda: self.store.reached,
+                reached=self.keeper.fresh,
             ),
             routes=lambda: self.feed.routes,
             count_pending=self._count_pending,
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -50,8 +50,6 @@
     def __init__(self, *, address: str) -> None:
         self._base = f"http://{address}/api"
         self._http = JsonClient()
-        #: Whether the last call that ended was served.
-        self.reached = True
 
     async def get(self, key: str) -> KeyValue | None:
         """Return the key as of now, or ``None`` when there is none."""
@@ -166,17 +164,13 @@
     ) -> Answer:
         CALLS.labels(kind).inc()
         try:
-            answer = await self._http.call(
+            return await self._http.call(
                 method, f"{self._base}/{path}", timeout_s=timeout_s, body=body, query=query
             )
-            self.reached = answer.status not in (429, 503)
-            return answer
         except NotSent as exc:
-            self.reached = False
             FAILED.labels(kind, "not sent").inc()
             raise StoreUnavailable(f"the store was not reached: {exc}") from exc
         except NoAnswer as exc:
-            self.reached = False
             FAILED.labels(kind, "no answer").inc()
             raise StoreUnclear(f"no answer of the store: {exc}") from exc
 
