Test a cell of real processes against stand-ins of the platform

Jobs from submission to their end, refusals, killed owners, planned stops, loss of all processes, outages and lost answers of the store, dropped histories, policies.

--- /dev/null
+++ b/rhubarbferry/test/platform_store.py
@@ -0,0 +1,224 @@
+"""A stand-in for the platform's store, in its own form, over the engine of the other stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from base64 import b64decode, b64encode
+from typing import Any
+
+from attrs import define, field
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.ports.store import KeyDeleted, KeyValue, LeaseLost, WatchEvent
+from rhubarbferry.test.memory_store import prefix_end
+from rhubarbferry.test.store_engine import Compacted, Compare, Delete, Engine, Put, Target
+
+# How often a waiting watch looks for changes.
+LOOK_S = 0.005
+PAGE_ITEMS = 500
+MAX_ENTRIES = 32
+ANSWER_S = 0.002
+
+
+@define(kw_only=True, eq=False)
+class Trouble:
+    """What goes wrong now.
+
+    :param down: every call is turned away with 503.
+    :param lose_every: of so many writes one is carried out and not answered; 0 for none.
+    :param late_s: such a write is carried out only after this time.
+    :param no_history: watches are told that their history is gone.
+    """
+
+    down: bool = False
+    lose_every: int = 0
+    late_s: float = 0.0
+    no_history: bool = False
+
+
+@define(kw_only=True, eq=False)
+class PlatformStoreStandIn:
+    """The store: keys, leases, watches by long poll."""
+
+    engine: Engine = field(factory=Engine)
+    trouble: Trouble = field(factory=Trouble)
+    clock: SystemClock = field(factory=SystemClock)
+    calls: dict[str, int] = field(factory=dict)
+    _writes: int = 0
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/api/kv-key", self._key),
+                Route("/api/kv-range", self._range),
+                Route("/api/kv-watch", self._watch),
+                Route("/api/kv-txn", self._txn, methods=["POST"]),
+                Route("/api/kv-lease", self._grant, methods=["POST"]),
+                Route("/api/kv-keep/{lease:int}", self._keep, methods=["POST"]),
+                Route("/api/kv-lease-end/{lease:int}", self._end, methods=["DELETE"]),
+            ]
+        )
+
+    def put(self, key: str, value: Any) -> None:
+        """Write as the operator and the hosts do."""
+        self.engine.txn([], [Put(key=key, value=json.dumps(value).encode())])
+
+    def remove(self, key: str) -> None:
+        """Remove as the operator and the hosts do."""
+        self.engine.txn([], [Delete(key=key)])
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        self._expire()
+        return [stored.kv.key for stored in self.engine.read(prefix, prefix_end(prefix))]
+
+    def _expire(self) -> None:
+        self.engine.expire(self.clock.monotonic())
+
+    async def _enter(self, call: str) -> Response | None:
+        self.calls[call] = self.calls.get(call, 0) + 1
+        await asyncio.sleep(ANSWER_S)
+        self._expire()
+        return Response(status_code=503) if self.trouble.down else None
+
+    async def _key(self, request: Request) -> Response:
+        refused = await self._enter("key")
+        if refused is not None:
+            return refused
+        stored = self.engine.get(request.query_params["key"])
+        if stored is None:
+            return JSONResponse({"at": self.engine.revision}, status_code=404)
+        return JSONResponse({**_item(stored.kv), "at": self.engine.revision})
+
+    async def _range(self, request: Request) -> Response:
+        refused = await self._enter("range")
+        if refused is not None:
+            return refused
+        prefix = request.query_params["prefix"]
+        start = request.query_params.get("after", "")
+        found = self.engine.read(max(prefix, start + "\0" if start else ""), prefix_end(prefix))
+        page = found[:PAGE_ITEMS]
+        return JSONResponse(
+            {
+                "items": [_item(stored.kv) for stored in page],
+                "hasMore": len(found) > len(page),
+                "at": self.engine.revision,
+            }
+        )
+
+    async def _watch(self, request: Request) -> Response:
+        refused = await self._enter("watch")
+        if refused is not None:
+            return refused
+        prefix = request.query_params["prefix"]
+        after = int(request.query_params["after"])
+        end = self.clock.monotonic() + int(request.query_params["waitMs"]) / 1000
+        while True:
+            self._expire()
+            try:
+                events = self.engine.changes(prefix, prefix_end(prefix), after + 1)
+            except Compacted:
+                return Response(status_code=410)
+            if self.trouble.no_history:
+                return Response(status_code=410)
+            if events or self.clock.monotonic() >= end:
+                return JSONResponse(
+                    {"events": [_event(event) for event in events], "at": self.engine.revision}
+                )
+            await asyncio.sleep(LOOK_S)
+
+    async def _txn(self, request: Request) -> Response:
+        body = await request.json()
+        refused = await self._enter("txn")
+        if refused is not None:
+            return refused
+        self._writes += 1
+        if self.trouble.lose_every and self._writes % self.trouble.lose_every == 0:
+            await asyncio.sleep(self.trouble.late_s)
+            self._carry_out(body)
+            return _Unanswered()
+        return self._carry_out(body)
+
+    def _carry_out(self, body: Any) -> Response:
+        expect = body.get("expect", [])
+        write = body.get("write", [])
+        remove = body.get("remove", [])
+        if len(expect) + len(write) + len(remove) > MAX_ENTRIES:
+            return JSONResponse({"error": "too many entries"}, status_code=400)
+        if any(put["key"].startswith(("op/", "servers/")) for put in write):
+            return Response(status_code=403)
+        compares = [
+            Compare(key=row["key"], target=Target.MOD, number=row["revision"]) for row in expect
+        ]
+        ops: list[Put | Delete] = [
+            Put(key=put["key"], value=b64decode(put["value"]), lease_id=put.get("lease", 0))
+            for put in write
+        ]
+        ops += [Delete(key=key) for key in remove]
+        try:
+            result = self.engine.txn(compares, ops)
+        except LeaseLost:
+            return Response(status_code=404)
+        if result.succeeded:
+            return JSONResponse({"revision": result.revision})
+        items = [
+            _item(stored.kv) if (stored := self.engine.get(row["key"])) else {"key": row["key"]}
+            for row in expect
+        ]
+        return JSONResponse({"items": items}, status_code=412)
+
+    async def _grant(self, request: Request) -> Response:
+        body = await request.json()
+        refused = await self._enter("grant")
+        if refused is not None:
+            return refused
+        lease = self.engine.grant(body["ttlMs"] / 1000, self.clock.monotonic())
+        return JSONResponse({"lease": lease, "ttlMs": body["ttlMs"]})
+
+    async def _keep(self, request: Request) -> Response:
+        refused = await self._enter("keep")
+        if refused is not None:
+            return refused
+        lease = request.path_params["lease"]
+        ttl_s = self.engine.keep_alive(lease, self.clock.monotonic())
+        if ttl_s is None:
+            return Response(status_code=404)
+        return JSONResponse({"ttlMs": int(ttl_s * 1000)})
+
+    async def _end(self, request: Request) -> Response:
+        refused = await self._enter("end")
+        if refused is not None:
+            return refused
+        known = self.engine.revoke(request.path_params["lease"])
+        return Response(status_code=200 if known else 404)
+
+
+class _Unanswered(Response):
+    """Announce a body and end without it, so that the caller has no whole answer."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        headers = [(b"content-length", b"2"), (b"connection", b"close")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        raise ConnectionResetError
+
+
+def _item(kv: KeyValue) -> dict[str, Any]:
+    return {
+        "key": kv.key,
+        "value": b64encode(kv.value).decode(),
+        "revision": kv.mod_revision,
+        "created": kv.create_revision,
+        "lease": kv.lease_id,
+    }
+
+
+def _event(event: WatchEvent) -> dict[str, Any]:
+    if isinstance(event, KeyDeleted):
+        return {"key": event.key, "revision": event.revision, "deleted": True}
+    return _item(event.kv)
--- /dev/null
+++ b/rhubarbferry/test/platform_worker.py
@@ -0,0 +1,196 @@
+"""A stand-in for a host that runs tasks and for the policy service, in the platform's form."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from attrs import define, field
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from rhubarbferry.test.platform_store import PlatformStoreStandIn
+
+LOOK_S = 0.01
+# Longest lease that a host grants.
+LEASE_MS = 6000
+
+
+@define(kw_only=True, eq=False)
+class Run:
+    """A run of a task.
+
+    :param ends_at: steady time at which its work is done.
+    """
+
+    task: str
+    attempt: int
+    ends_at: float
+    began_at: float = field(factory=time.monotonic)
+    ended_at: float | None = None
+    how: str = ""
+
+
+@define(kw_only=True, eq=False)
+class PlatformWorkerStandIn:
+    """One host.
+
+    :param work_s: how long each task works.
+    :param fails: tasks that end as failed.
+    :ivar history: every run that began here.
+    :ivar over: task names of starts that the host had no room for.
+    """
+
+    id: str
+    service: str
+    store: PlatformStoreStandIn
+    work_s: float = 0.3
+    capacity: dict[str, int] = field(factory=lambda: {"cpu": 8000, "memMb": 16000, "gpu": 0})
+    sizes: dict[str, int] = field(factory=dict)
+    fails: set[str] = field(factory=set)
+    silent: bool = False
+    history: list[Run] = field(factory=list)
+    fence: int = 0
+    _born: int = field(factory=lambda: int(time.time() * 1000))
+    _running: dict[str, Run] = field(factory=dict)
+    _stopped: dict[str, int] = field(factory=dict)
+    _ended: list[list[Any]] = field(factory=list)
+    _count: int = 0
+    _lease_until: float = 0.0
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/api/run-start", self._start, methods=["POST"]),
+                Route("/api/run-stop", self._stop, methods=["POST"]),
+                Route("/api/hold", self._hold, methods=["POST"]),
+            ]
+        )
+
+    def register(self, address: str, *, state: str = "ready") -> None:
+        """Write the entry in the host list."""
+        entry = {
+            "service": self.service,
+            "addr": address,
+            "zone": "zone",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "capacity": self.capacity,
+            "labels": ["a", "r1-1"],
+            "clockMs": self._clock_ms(),
+            "seq": 1,
+            "born": self._born,
+        }
+        self.store.put(f"servers/{self.id}", entry)
+
+    def _clock_ms(self) -> int:
+        return int(time.monotonic() * 1000) - 50_000
+
+    def _advance(self) -> None:
+        now = time.monotonic()
+        for run in list(self._running.values()):
+            if self._clock_ms() > self._lease_until:
+                self._end(run, "lapsed")
+            elif now >= run.ends_at:
+                failed = run.task in self.fails
+                self._end(run, "failed" if failed else "done")
+
+    def _end(self, run: Run, how: str) -> None:
+        del self._running[run.task]
+        run.ended_at = time.monotonic()
+        run.how = how
+        self._stopped[run.task] = max(self._stopped.get(run.task, 0), run.attempt)
+        self._count += 1
+        self._ended.append([self._count, run.task, run.attempt, how, ""])
+
+    async def _enter(self, request: Request) -> tuple[dict[str, Any], Response | None]:
+        if self.silent:
+            await asyncio.sleep(30)
+        body = await request.json()
+        self._advance()
+        if request.headers.get("rhubarbferry-expect-instance") != self.id:
+            return body, Response(status_code=421)
+        if body.get("fence", 0) < self.fence:
+            return body, self._refuse("fence")
+        self.fence = body.get("fence", 0)
+        return body, None
+
+    def _refuse(self, reason: str) -> Response:
+        return JSONResponse({"clockMs": self._clock_ms(), "reason": reason}, status_code=409)
+
+    def _extend(self, body: dict[str, Any]) -> None:
+        until = min(body.get("deadlineMs", 0), self._clock_ms() + LEASE_MS)
+        self._lease_until = max(self._lease_until, until)
+
+    async def _start(self, request: Request) -> Response:
+        body, refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        task, attempt = body["task"], body["attempt"]
+        if body["deadlineMs"] < self._clock_ms():
+            return self._refuse("late")
+        running = self._running.get(task)
+        if attempt <= self._stopped.get(task, 0) or (running and attempt < running.attempt):
+            return self._refuse("old")
+        self._extend(body)
+        if running is None:
+            run = Run(task=task, attempt=attempt, ends_at=time.monotonic() + self.work_s)
+            self._running[task] = run
+            self.history.append(run)
+        return JSONResponse({"clockMs": self._clock_ms()})
+
+    async def _stop(self, request: Request) -> Response:
+        body, refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        run = self._running.get(body["task"])
+        if run is not None and run.attempt == body["attempt"]:
+            self._end(run, "stopped")
+        self._stopped[body["task"]] = max(self._stopped.get(body["task"], 0), body["attempt"])
+        return JSONResponse({"clockMs": self._clock_ms()})
+
+    async def _hold(self, request: Request) -> Response:
+        body, refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        self._extend(body)
+        self._ended = [row for row in self._ended if row[0] > body.get("ackIndex", 0)]
+        end = time.monotonic() + body.get("waitMs", 0) / 1000
+        while not self._ended and time.monotonic() < end:
+            await asyncio.sleep(LOOK_S)
+            self._advance()
+        active = [[run.task, run.attempt, "", 50, 0] for run in self._running.values()]
+        return JSONResponse(
+            {
+                "clockMs": self._clock_ms(),
+                "born": self._born,
+                "active": active,
+                "finished": self._ended[:500],
+            }
+        )
+
+
+@define(kw_only=True, eq=False)
+class PlatformPolicyStandIn:
+    """The policy service: approves all hosts but those in ``denied``."""
+
+    denied: set[str] = field(factory=set)
+    decision_s: float = 0.01
+    questions: int = 0
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(routes=[Route("/api/advise", self._advise, methods=["POST"])])
+
+    async def _advise(self, request: Request) -> Response:
+        body = await request.json()
+        self.questions += 1
+        await asyncio.sleep(self.decision_s)
+        approved = [[id, f"ticket-{id}"] for id in body["workers"] if id not in self.denied]
+        return JSONResponse({"approved": approved, "validMs": 1500})
--- /dev/null
+++ b/tests/cell/stage.py
@@ -0,0 +1,219 @@
+"""A cell of real processes against stand-ins of the platform in the test's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+from attrs import Factory, define, field
+
+from rhubarbferry.test.platform_store import PlatformStoreStandIn
+from rhubarbferry.test.platform_worker import PlatformPolicyStandIn, PlatformWorkerStandIn
+from rhubarbferry.test.serving import bind, serving
+
+SETTINGS = """\
+nodeName = "{name}"
+role = "cell"
+machineClass = "edge"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "zone"
+region = "region"
+portRange = [{peer_port}, {peer_port}]
+unknownField = "is ignored"
+{advisor}
+[listen]
+front = "127.0.0.1:{front_port}"
+readiness = "127.0.0.1:{health_port}"
+[bounds]
+graceS = 6
+[platform]
+addr = "{store}"
+"""
+HOST = "jobs.example"
+PREFIX = "/q/"
+SERVICE = "pool"
+STARTED_S = 20.0
+
+
+def configuration(version: int = 1, *, prefixes: tuple[str, ...] = (PREFIX,), **queue) -> dict:
+    routes = [
+        {
+            "name": f"route{prefix}",
+            "host": HOST,
+            "prefix": prefix,
+            "kind": "mutating",
+            "timeoutMs": 3000,
+            "sloMs": 500,
+            "priority": 0,
+            "service": SERVICE,
+            "attempts": 3,
+            "slackFactor": 1.5,
+            **queue,
+        }
+        for prefix in prefixes
+    ]
+    services = [{"name": SERVICE, "rejectsOverload": False}]
+    return {"version": version, "routes": routes, "services": services, "limits": {}}
+
+
+def free_port() -> int:
+    sock = bind()
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+@define
+class Member:
+    name: str
+    child: asyncio.subprocess.Process
+    output: Path
+    front: str
+    health: str
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.child.returncode is None:
+            os.kill(self.child.pid, number)
+
+    def lines(self) -> list[dict]:
+        found = []
+        for line in self.output.read_text(errors="replace").splitlines():
+            try:
+                found.append(json.loads(line))
+            except ValueError:
+                continue
+        return found
+
+    def events(self, name: str) -> list[dict]:
+        return [line for line in self.lines() if line.get("event") == name]
+
+
+@define
+class Stage:
+    dir: Path
+    store: PlatformStoreStandIn = Factory(PlatformStoreStandIn)
+    policy: PlatformPolicyStandIn = Factory(PlatformPolicyStandIn)
+    workers: dict[str, PlatformWorkerStandIn] = Factory(dict)
+    members: dict[str, Member] = Factory(dict)
+    store_address: str = ""
+    policy_address: str = ""
+    session: aiohttp.ClientSession = field(init=False)
+    _stack: AsyncExitStack = Factory(AsyncExitStack)
+
+    async def __aenter__(self) -> Stage:
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=6))
+        self.store_address = await self._stack.enter_async_context(serving(self.store.app()))
+        self.policy_address = await self._stack.enter_async_context(serving(self.policy.app()))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for member in self.members.values():
+            member.signal(signal.SIGKILL)
+            await member.child.wait()
+        await self.session.close()
+        await self._stack.aclose()
+
+    async def add_worker(self, id: str, **fields) -> PlatformWorkerStandIn:
+        worker = PlatformWorkerStandIn(id=id, service=SERVICE, store=self.store, **fields)
+        address = await self._stack.enter_async_context(serving(worker.app()))
+        worker.register(address)
+        self.workers[id] = worker
+        return worker
+
+    async def start(self, name: str) -> Member:
+        ports = [free_port() for _ in range(3)]
+        text = SETTINGS.format(
+            name=name,
+            peer_port=ports[0],
+            front_port=ports[1],
+            health_port=ports[2],
+            store=self.store_address,
+            advisor=f'advisor = "{self.policy_address}"',
+        )
+        path = self.dir / f"{name}.toml"
+        path.write_text(text)
+        output = self.dir / f"{name}.{len(self.members)}.log"
+        with output.open("wb") as sink:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "rhubarbferry.platform",
+                stdout=sink,
+                stderr=asyncio.subprocess.STDOUT,
+                env={**os.environ, "RHUBARBFERRY_SETTINGS": str(path)},
+            )
+        member = Member(
+            name=name,
+            child=child,
+            output=output,
+            front=f"127.0.0.1:{ports[1]}",
+            health=f"127.0.0.1:{ports[2]}",
+        )
+        self.members[name] = member
+        return member
+
+    async def ready(self, member: Member) -> None:
+        async with asyncio.timeout(STARTED_S):
+            while True:
+                try:
+                    async with self.session.get(f"http://{member.health}/api/readyz") as resp:
+                        if resp.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def call(self, member: Member, method: str, path: str, body=None) -> tuple[int, dict]:
+        async with self.session.request(
+            method, f"http://{member.front}{path}", json=body, headers={"Host": HOST}
+        ) as resp:
+            return resp.status, await resp.json()
+
+    async def submit(self, member: Member, id: str, *steps: dict, prefix: str = PREFIX) -> int:
+        status, _ = await self.call(
+            member, "POST", prefix + id, {"spec": "work", "phases": list(steps) or [step()]}
+        )
+        return status
+
+    async def state(self, member: Member, id: str, prefix: str = PREFIX) -> str:
+        status, body = await self.call(member, "GET", prefix + id)
+        return body["state"] if status == 200 else str(status)
+
+    async def until(self, member: Member, id: str, state: str, within_s: float = 20.0) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within_s
+        found = await self.state(member, id)
+        while found != state and loop.time() < end:
+            await asyncio.sleep(0.05)
+            found = await self.state(member, id)
+        assert found == state
+
+    def owner(self) -> Member:
+        stored = self.store.engine.get("cell/control/owner")
+        assert stored is not None
+        return self.members[json.loads(stored.kv.value)["name"]]
+
+    def runs(self) -> list:
+        return [run for worker in self.workers.values() for run in worker.history]
+
+    def assert_nothing_twice(self) -> None:
+        by_task: dict[str, list] = {}
+        for run in self.runs():
+            by_task.setdefault(run.task, []).append(run)
+        for task, runs in by_task.items():
+            runs.sort(key=lambda run: run.began_at)
+            for first, second in zip(runs, runs[1:], strict=False):
+                assert first.ended_at is not None, f"{task} ran twice at once"
+                assert first.ended_at <= second.began_at, f"{task} ran twice at once"
+                assert first.how != "done", f"{task} ran again after it was done"
+
+
+def step(count: int = 1, **fields) -> dict:
+    return {"count": count, "cpu": 1000, "memMb": 100, "estimateMs": 300, **fields}
--- /dev/null
+++ b/tests/cell/test_cell.py
@@ -0,0 +1,225 @@
+"""Real processes of a cell against stand-ins of the platform: jobs from submission to their end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+
+from .stage import Stage, configuration, step
+
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
+
+NAMES = ("one", "two", "three")
+
+
+@pytest.fixture
+async def stage(tmp_path):
+    async with Stage(tmp_path) as stage:
+        stage.store.put("op/config", configuration())
+        for index in range(3):
+            await stage.add_worker(f"w{index}")
+        for name in NAMES:
+            await stage.start(name)
+        for member in stage.members.values():
+            await stage.ready(member)
+        yield stage
+
+
+def ids(count: int) -> list[str]:
+    return [f"{index:016x}" for index in range(1, count + 1)]
+
+
+JOBS = {
+    "one task": [step()],
+    "two steps in order": [step(2), step(3, after=[0])],
+    "a gang": [step(4, gang=True)],
+    "more than there is room for at once": [step(40)],
+}
+
+
+@pytest.mark.parametrize("steps", JOBS.values(), ids=JOBS.keys())
+async def test_a_job_runs_once_and_is_shown_as_complete(stage, steps):
+    first, second, _ = stage.members.values()
+    assert await stage.submit(first, ids(1)[0], *steps) == 200
+    await stage.until(second, ids(1)[0], "complete")
+    assert len(stage.runs()) == sum(row["count"] for row in steps)
+    stage.assert_nothing_twice()
+
+
+REFUSED = {
+    "no JSON": ("POST", "/q/00000000000000aa", b"{", 400),
+    "no steps": ("POST", "/q/00000000000000aa", {"spec": "x", "phases": []}, 400),
+    "a step after a later one": (
+        "POST",
+        "/q/00000000000000aa",
+        {"spec": "x", "phases": [step(after=[1]), step()]},
+        400,
+    ),
+    "an id of the wrong form": ("POST", "/q/short", {"spec": "x", "phases": [step()]}, 404),
+    "an unknown queue": ("POST", "/none/00000000000000aa", {"spec": "x"}, 404),
+    "a job that nobody submitted": ("GET", "/q/00000000000000aa", None, 410),
+    "cancelling such a job": ("DELETE", "/q/00000000000000aa", None, 410),
+    "another method": ("PUT", "/q/00000000000000aa", None, 405),
+}
+
+
+async def test_what_can_not_be_served_is_refused_at_once_and_leaves_nothing(stage):
+    member = stage.members["one"]
+    for what, (method, path, body, status) in REFUSED.items():
+        if isinstance(body, bytes):
+            async with stage.session.request(
+                method, f"http://{member.front}{path}", data=body, headers={"Host": "jobs.example"}
+            ) as resp:
+                found = resp.status
+        else:
+            found, _ = await stage.call(member, method, path, body)
+        assert found == status, what
+    assert stage.store.keys("state/") == []
+    assert await stage.submit(member, ids(1)[0]) == 200
+
+
+async def test_jobs_go_on_when_their_owner_is_killed(stage):
+    """The process that decides where tasks run is killed with jobs half done. Without a
+    successor that adopts what runs, its jobs would stand still or run a second time."""
+    for worker in stage.workers.values():
+        worker.work_s = 1.0
+    owner = stage.owner()
+    other = next(member for member in stage.members.values() if member is not owner)
+    for id in ids(6):
+        assert await stage.submit(other, id, step(2), step(2, after=[0])) == 200
+    await asyncio.sleep(0.5)
+    owner.signal(signal.SIGKILL)
+    for id in ids(6):
+        await stage.until(other, id, "complete")
+    stage.assert_nothing_twice()
+
+
+async def test_a_planned_stop_hands_over_at_once(stage):
+    """A process is stopped for maintenance. Were its work left until its lease ends, no task
+    would start for more than a second; were its connections closed, clients would be cut off."""
+    owner = stage.owner()
+    other = next(member for member in stage.members.values() if member is not owner)
+    owner.signal(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    assert stage.owner() is not owner
+    assert await stage.submit(owner, ids(1)[0]) == 200
+    await stage.until(other, ids(1)[0], "complete", within_s=3.0)
+    assert await asyncio.wait_for(owner.child.wait(), 6.0) == 0
+    stage.assert_nothing_twice()
+
+
+async def test_acknowledged_jobs_outlive_all_processes(stage):
+    """All processes are killed right after jobs were acknowledged, as when all power fails.
+    A user who was told that his job is accepted must not have to hand it in again."""
+    for worker in stage.workers.values():
+        worker.work_s = 1.0
+    member = stage.members["one"]
+    for id in ids(5):
+        assert await stage.submit(member, id, step(3)) == 200
+    for each in stage.members.values():
+        each.signal(signal.SIGKILL)
+    for each in list(stage.members.values()):
+        await each.child.wait()
+    for name in NAMES:
+        await stage.start(name)
+    for each in stage.members.values():
+        await stage.ready(each)
+    for id in ids(5):
+        await stage.until(stage.members["one"], id, "complete")
+    stage.assert_nothing_twice()
+
+
+async def test_a_cancelled_job_stops_and_does_not_come_back(stage):
+    for worker in stage.workers.values():
+        worker.work_s = 30.0
+    member = stage.members["two"]
+    assert await stage.submit(member, ids(1)[0], step(2)) == 200
+    await stage.until(member, ids(1)[0], "running")
+    status, _ = await stage.call(member, "DELETE", "/q/" + ids(1)[0])
+    assert status == 200
+    await stage.until(member, ids(1)[0], "canceled")
+    await asyncio.sleep(0.5)
+    assert all(run.how == "stopped" for run in stage.runs())
+
+
+async def test_a_task_that_always_fails_ends_its_job_after_its_attempts(stage):
+    """A task can never be done. Tried for ever it would take room from all others; given up too
+    early, a job that could have been done is lost."""
+    id = ids(1)[0]
+    for worker in stage.workers.values():
+        worker.fails.add(f"{id}.0.0.0")
+    assert await stage.submit(stage.members["one"], id) == 200
+    await stage.until(stage.members["one"], id, "failed")
+    assert len(stage.runs()) == 3
+
+
+async def test_an_outage_of_the_store_refuses_truthfully_and_loses_nothing(stage):
+    """The store is down for some seconds. What was accepted goes on afterwards; a job that was
+    refused in the outage must never run."""
+    member = stage.members["one"]
+    for worker in stage.workers.values():
+        worker.work_s = 0.6
+    assert await stage.submit(member, ids(1)[0], step(2), step(2, after=[0])) == 200
+    stage.store.trouble.down = True
+    await asyncio.sleep(1.0)
+    assert await stage.submit(member, ids(2)[1]) == 503
+    await asyncio.sleep(2.0)
+    stage.store.trouble.down = False
+    await stage.until(member, ids(1)[0], "complete")
+    assert await stage.state(member, ids(2)[1]) == "410"
+    assert not any(run.task.startswith(ids(2)[1]) for run in stage.runs())
+    stage.assert_nothing_twice()
+
+
+async def test_a_lost_answer_of_the_store_does_not_double_a_job(stage):
+    """The store accepts a job and its answer is lost. The client is not told "no", and its
+    second try finds the first."""
+    member = stage.members["one"]
+    stage.store.trouble.lose_every = 2
+    for id in ids(8):
+        for _ in range(4):
+            try:
+                if await stage.submit(member, id) == 200:
+                    break
+            except Exception:
+                await asyncio.sleep(0.2)
+    stage.store.trouble.lose_every = 0
+    for id in ids(8):
+        await stage.until(member, id, "complete")
+    assert len(stage.runs()) == 8
+
+
+async def test_a_configuration_is_in_force_everywhere_though_watches_lose_their_history(stage):
+    """Operators add a queue while the store drops its history. A process that missed the change
+    would go on to refuse that queue's jobs."""
+    stage.store.trouble.no_history = True
+    stage.store.put("op/config", configuration(7, prefixes=("/q/", "/new/")))
+    await asyncio.sleep(2.5)
+    for index, member in enumerate(stage.members.values()):
+        assert await stage.submit(member, ids(3)[index], prefix="/new/") == 200
+
+
+async def test_counts_of_waiting_jobs_are_the_same_at_each_process(stage):
+    for worker in stage.workers.values():
+        worker.work_s = 30.0
+    member = stage.members["one"]
+    assert await stage.submit(member, ids(1)[0], step(24)) == 200
+    await stage.until(member, ids(1)[0], "running")
+    for id in ids(4)[1:]:
+        assert await stage.submit(member, id) == 200
+    await asyncio.sleep(1.0)
+    for each in stage.members.values():
+        assert await stage.call(each, "GET", "/q/") == (200, {"pending": 3})
+
+
+async def test_starts_on_a_queue_with_a_policy_go_to_approved_hosts_only(stage):
+    cost = {"decisionMs": 10, "perWorkerMs": 0.1, "validMs": 1500}
+    stage.policy.denied = {"w0", "w1"}
+    stage.store.put("op/config", configuration(2, advisor=cost))
+    await asyncio.sleep(1.5)
+    assert await stage.submit(stage.members["one"], ids(1)[0], step(5)) == 200
+    await stage.until(stage.members["one"], ids(1)[0], "complete")
+    assert stage.workers["w0"].history == []
+    assert stage.workers["w1"].history == []
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -12,7 +12,6 @@
     StopOrder,
     TaskId,
 )
-
 from rhubarbferry.dispatch.record import encode_state, restore_state
 
 from .world import World, job, step
