--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from rhubarbferry.cell.context import TermContext
-from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.hosts import SILENT_S, Host
 from rhubarbferry.ports.workers import (
     FenceStale,
     HoldRequest,
@@ -19,6 +19,8 @@
 LOOK_S = 0.7
 # After a look that failed.
 RETRY_S = 0.1
+# The same for a host that has been silent for longer; it may be gone for good.
+SILENT_RETRY_S = 0.5
 # While ends are not yet on record the host would answer at once each time.
 UNRECORDED_PAUSE_S = 0.12
 # How long to wait for an answer, over the time that the look itself takes: some round trips
@@ -45,10 +47,16 @@
         while (host := self.ctx.dispatcher.tracker.hosts.get(self.id)) is not None:
             self.ctx.tenure.check()
             if not await self._look(host):
-                await asyncio.sleep(RETRY_S if host.adopted else FIRST_RETRY_S)
+                await asyncio.sleep(self._pause_s(host))
             elif host.seen_end > host.recorded_end:
                 await asyncio.sleep(UNRECORDED_PAUSE_S)
 
+    def _pause_s(self, host: Host) -> float:
+        if not host.adopted:
+            return FIRST_RETRY_S
+        silent = self.ctx.now() - host.heard_at >= SILENT_S
+        return SILENT_RETRY_S if silent else RETRY_S
+
     async def glance(self) -> None:
         """Look once, without waiting for an end."""
         host = self.ctx.dispatcher.tracker.hosts.get(self.id)
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -98,10 +98,12 @@
     def hold(self, now: float, hold_s: float) -> float | None:
         """Return the time on its clock until which its task leases are to run.
 
-        ``None`` before its clock is known. What is returned counts as ordered from here on,
-        since a call without an answer may have been carried out.
+        ``None`` when they are not to be extended: before its clock is known, and while it is
+        silent. What is returned counts as ordered from here on, since a call without an answer
+        may have been carried out. Were a silent host's leases extended with each try, they
+        would never count as over, and the tasks of a host that has died would wait for ever.
         """
-        if self.clock is None:
+        if self.clock is None or now - self.heard_at >= SILENT_S:
             return None
         until = self.clock.estimate(now) + hold_s
         self.held_until_s = max(self.held_until_s, until)
