--- a/rhubarbferry/platform/policy.py
+++ b/rhubarbferry/platform/policy.py
@@ -11,18 +11,19 @@
 class PlatformPolicy:
     """The policy service.
 
-    :param address: ``ip:port``.
+    :param address: ``ip:port``; may be changed between calls.
     """
 
     def __init__(self, *, address: str) -> None:
-        self._url = f"http://{address}/api/advise"
+        self.address = address
         self._http = JsonClient()
 
     async def ask(self, step: StepId, hosts: tuple[str, ...], *, timeout_s: float) -> Approvals:
         """Return the approvals among ``hosts``."""
         body = {"stepId": step_name(step), "workers": list(hosts)}
         try:
-            answer = await self._http.call("POST", self._url, timeout_s=timeout_s, body=body)
+            url = f"http://{self.address}/api/advise"
+            answer = await self._http.call("POST", url, timeout_s=timeout_s, body=body)
         except (NotSent, NoAnswer) as exc:
             raise WorkerSilent(str(exc)) from exc
         if answer.status == 429:
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 from pathlib import Path
 
@@ -135,9 +136,11 @@
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self.keeper.run()),
             asyncio.create_task(self.candidate.run()),
+            asyncio.create_task(self._follow_settings()),
         ]
         servers = [
             serve(health, address=self.file.addresses.health, idle_s=75),
+            serve(health, address=self.file.addresses.metrics, idle_s=75),
             serve(self.api, address=self.file.addresses.clients, idle_s=75),
         ]
         serving = [asyncio.create_task(server.serve()) for server in servers]
@@ -173,6 +176,28 @@
         await asyncio.sleep(max(0.0, end - self.clock.monotonic()))
         self.log.emit("process.stopped", in_progress=self.api.in_progress)
 
+    async def _follow_settings(self) -> None:
+        """Apply changes of the settings file, whether a signal tells of them or not."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.signals.reload.wait(), SETTINGS_LOOK_S)
+            self.signals.reload.clear()
+            try:
+                file = read_settings()
+            except SettingsFileError as exc:
+                self.log.emit("settings.refused", reason=str(exc), outcome="the last ones stay")
+                continue
+            if file != self.file:
+                self._apply(file)
+
+    def _apply(self, file: ProcessFile) -> None:
+        """Follow the addresses of the services; what this process listens on stays."""
+        self.store.address = file.addresses.store
+        if self.policy is not None and file.addresses.policy:
+            self.policy.address = file.addresses.policy
+        self.file = file
+        self.log.emit("settings.applied", addresses=str(file.addresses))
+
     def _not_ready(self) -> str:
         if self.leaving:
             return "the process is stopping"
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -12,9 +12,10 @@
 from rhubarbferry.cell.settings import Bounds, CellSettings, StoreRates
 
 SETTINGS_VARIABLE = "RHUBARBFERRY_SETTINGS"
-# The roles' metrics are fetched from the readiness address; the peers' calls use the first of
-# the ports that the platform leaves to this system.
+# The peers' calls use the first of the ports that the platform leaves to this system.
 PEER_PORT_INDEX = 0
+# As `metrics` in deploy/system.toml names it, where only a fixed port can stand.
+METRICS_PORT = 9464
 
 
 class SettingsFileError(Exception):
@@ -28,6 +29,7 @@
     :param clients: where clients' connections arrive.
     :param health: where the balancer asks whether this process takes connections.
     :param peers: where other processes of the cell call.
+    :param metrics: where the metrics are served besides, on a port that does not change.
     :param store: the platform's key-value service.
     :param policy: the policy service; empty where there is none.
     """
@@ -35,6 +37,7 @@
     clients: str
     health: str
     peers: str
+    metrics: str
     store: str
     policy: str
 
@@ -97,6 +100,7 @@
             clients=reader.value("listen.front", str),
             health=reader.value("listen.readiness", str),
             peers=f"{ip}:{ports[PEER_PORT_INDEX]}",
+            metrics=f"{ip}:{METRICS_PORT}",
             store=reader.value("platform.addr", str),
             policy=reader.value("advisor", str, ""),
         ),
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -44,11 +44,11 @@
 class PlatformStore:
     """Keys, leases and watches of the platform.
 
-    :param address: ``ip:port``.
+    :param address: ``ip:port``; may be changed between calls.
     """
 
     def __init__(self, *, address: str) -> None:
-        self._base = f"http://{address}/api"
+        self.address = address
         self._http = JsonClient()
 
     async def get(self, key: str) -> KeyValue | None:
@@ -165,7 +165,11 @@
         CALLS.labels(kind).inc()
         try:
             return await self._http.call(
-                method, f"{self._base}/{path}", timeout_s=timeout_s, body=body, query=query
+                method,
+                f"http://{self.address}/api/{path}",
+                timeout_s=timeout_s,
+                body=body,
+                query=query,
             )
         except NotSent as exc:
             FAILED.labels(kind, "not sent").inc()
--- a/tests/cell/stage.py
+++ b/tests/cell/stage.py
@@ -22,15 +22,15 @@
 role = "cell"
 machineClass = "edge"
 serves = ["edge"]
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "zone"
 region = "region"
 portRange = [{peer_port}, {peer_port}]
 unknownField = "is ignored"
 {advisor}
 [listen]
-front = "127.0.0.1:{front_port}"
-readiness = "127.0.0.1:{health_port}"
+front = "{ip}:{front_port}"
+readiness = "{ip}:{health_port}"
 [bounds]
 graceS = 6
 [platform]
@@ -102,6 +102,7 @@
     policy: PlatformPolicyStandIn = Factory(PlatformPolicyStandIn)
     workers: dict[str, PlatformWorkerStandIn] = Factory(dict)
     members: dict[str, Member] = Factory(dict)
+    addresses: dict[str, str] = Factory(dict)
     store_address: str = ""
     policy_address: str = ""
     session: aiohttp.ClientSession = field(init=False)
@@ -129,8 +130,11 @@
 
     async def start(self, name: str) -> Member:
         ports = [free_port() for _ in range(3)]
+        # Each process has an address of its own, since one of its ports is the same on all.
+        ip = self.addresses.setdefault(name, f"127.0.0.{2 + len(self.addresses)}")
         text = SETTINGS.format(
             name=name,
+            ip=ip,
             peer_port=ports[0],
             front_port=ports[1],
             health_port=ports[2],
@@ -153,8 +157,8 @@
             name=name,
             child=child,
             output=output,
-            front=f"127.0.0.1:{ports[1]}",
-            health=f"127.0.0.1:{ports[2]}",
+            front=f"{ip}:{ports[1]}",
+            health=f"{ip}:{ports[2]}",
         )
         self.members[name] = member
         return member
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from rhubarbferry.management.app import run_command
+
 from .stage import Stage, configuration, step
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
@@ -223,3 +225,36 @@
     await stage.until(stage.members["one"], ids(1)[0], "complete")
     assert stage.workers["w0"].history == []
     assert stage.workers["w1"].history == []
+
+
+async def test_a_changed_settings_file_is_followed_with_and_without_a_signal(stage):
+    """The platform moves a service and rewrites the settings files; it tells only some of the
+    processes by a signal. A process that ended at the signal, or went on with the old address,
+    would lose its clients' requests."""
+    signalled, silent, _ = stage.members.values()
+    for member in (signalled, silent):
+        path = stage.dir / f"{member.name}.toml"
+        path.write_text(path.read_text().replace(stage.policy_address, "127.0.0.1:9"))
+    signalled.signal(signal.SIGHUP)
+    await asyncio.sleep(0.5)
+    assert signalled.events("settings.applied")
+    await asyncio.sleep(2.5)
+    assert silent.events("settings.applied")
+    assert await stage.submit(signalled, ids(1)[0]) == 200
+    await stage.until(silent, ids(1)[0], "complete")
+
+
+async def test_metrics_are_served_on_their_address(stage):
+    ip = stage.addresses["one"]
+    async with stage.session.get(f"http://{ip}:9464/metrics") as resp:
+        assert resp.status == 200
+        assert "rhubarbferry_store_requests_total" in await resp.text()
+
+
+async def test_check_settings_reads_the_platforms_file(stage, capsys):
+    path = stage.dir / "one.toml"
+    assert run_command(["check-settings", str(path)]) == 0
+    broken = stage.dir / "broken.toml"
+    broken.write_text(path.read_text().replace('ip = "', 'other = "'))
+    assert run_command(["check-settings", str(broken)]) != 0
+    assert "ip" in capsys.readouterr().out
