--- /dev/null
+++ b/bench/dispatch_backlog.py
@@ -0,0 +1,129 @@
+"""Placements a second while 10,000 tasks wait that do not fit.
+
+Run: python bench/dispatch_backlog.py. The pattern is that of a burst of large jobs on a full cell:
+whatever comes free is too small for them, and small jobs go past. Prints one JSON line.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.job import Job
+from rhubarbferry.dispatch.messages import (
+    EndedTask,
+    EndKind,
+    HostEntry,
+    HostReport,
+    JobRequest,
+    Queue,
+    Sizes,
+    Started,
+    StartOrder,
+    StepRequest,
+)
+from rhubarbferry.dispatch.succession import Succession
+
+HOSTS = 24
+LARGE_JOBS = 1_000
+TASKS_PER_LARGE_JOB = 10
+SMALL_JOBS = 5_000
+LEASE_S = 6.0
+QUEUE = Queue(name="queue", service="pool")
+
+
+def entry(index: int) -> HostEntry:
+    return HostEntry(
+        id=f"h{index}",
+        incarnation=1,
+        service="pool",
+        address=f"h{index}:1",
+        capacity=Sizes(millicores=64_000, memory_mb=128_000),
+    )
+
+
+def job(id: str, count: int, millicores: int) -> Job:
+    step = StepRequest(count=count, sizes=Sizes(millicores=millicores, memory_mb=10))
+    return Job(
+        req=JobRequest(id=id, queue="queue", payload="", steps=(step,)),
+        queue=QUEUE,
+        arrived_at=0.0,
+        created_revision=1,
+        record_revision=1,
+    )
+
+
+class Cell:
+    """The dispatcher and hosts that end each task as soon as it has started."""
+
+    def __init__(self) -> None:
+        self.now = 1.0
+        succession = Succession(lapsed_at=0.0)
+        self.dispatcher = Dispatcher(succession=succession, lease_s=LEASE_S)
+        self.ends = {f"h{index}": 0 for index in range(HOSTS)}
+        for index in range(HOSTS):
+            self.dispatcher.host_listed(entry(index), now=self.now)
+            self.report(f"h{index}", [])
+
+    def report(self, host: str, orders: list[StartOrder]) -> None:
+        ended = []
+        for order in orders:
+            self.ends[host] += 1
+            ended.append(
+                EndedTask(
+                    number=self.ends[host],
+                    task=order.task,
+                    attempt=order.attempt,
+                    how=EndKind.DONE,
+                )
+            )
+        report = HostReport(clock_s=self.now, incarnation=1, running=(), ended=tuple(ended))
+        self.dispatcher.reported(host, report, sent_at=self.now, now=self.now)
+
+    def turn(self) -> int:
+        """Decide once, start and end what was decided; return how many tasks that were."""
+        self.now += 0.001
+        orders = self.dispatcher.decide(now=self.now, wall_s=self.now)
+        starts = [order for order in orders if isinstance(order, StartOrder)]
+        by_host: dict[str, list[StartOrder]] = {}
+        for order in starts:
+            answer = Started(clock_s=self.now)
+            self.dispatcher.start_answered(
+                order.host, order.task, order.attempt, answer, now=self.now
+            )
+            by_host.setdefault(order.host, []).append(order)
+        self.now += 0.001
+        for host in self.ends:
+            self.report(host, by_host.get(host, []))
+        return len(starts)
+
+
+def measure(waiting_tasks: int) -> float:
+    cell = Cell()
+    for index in range(waiting_tasks // TASKS_PER_LARGE_JOB):
+        # Larger than any host: it waits for the whole run, as what does not fit does.
+        large = job(f"large{index}", TASKS_PER_LARGE_JOB, 65_000)
+        cell.dispatcher.add_job(large, now=cell.now, wall_s=cell.now)
+    cell.turn()
+    for index in range(SMALL_JOBS):
+        small = job(f"small{index}", 1, 2_000)
+        cell.dispatcher.add_job(small, now=cell.now, wall_s=cell.now)
+    placed = 0
+    begun = time.perf_counter()
+    while placed < SMALL_JOBS:
+        placed += cell.turn()
+    return placed / (time.perf_counter() - begun)
+
+
+def main() -> None:
+    waiting = LARGE_JOBS * TASKS_PER_LARGE_JOB
+    figures = {
+        "placements_per_s": {str(tasks): round(measure(tasks)) for tasks in (0, waiting)},
+        "hosts": HOSTS,
+    }
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -11,7 +11,9 @@
 from attrs import Factory, define, field
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
+from rhubarbferry.dispatch import reservations
 from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.hung import hung_runs
 from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
     Advice,
@@ -25,7 +27,6 @@
     Refusal,
     StartOrder,
     StepId,
-    StopOrder,
     TaskId,
 )
 from rhubarbferry.dispatch.placement import Placed, could_run, place
@@ -41,13 +42,8 @@
 HOSTS_PER_QUESTION = 100
 # After a question that got no answer, before the next one for the same step.
 QUESTION_PAUSE_S = 0.3
-# A reservation that has no ticket by then is given up: its room is wanted by others.
-RESERVATION_SLACK_S = 1.5
 # A host that refused a start for its own state gets no new task for this long.
 REFUSED_PAUSE_S = 0.5
-# A task whose progress has not moved for this long, while its host goes on reporting, hangs.
-# Progress is reported in percent, and one percent of the longest tasks seen takes 0.2 s.
-HUNG_S = 2.5
 # A host on which a task hung gets no new task for this long.
 HUNG_PAUSE_S = 4.0
 # Tasks fail by their own fault in a few percent of runs, so a host is taken out of use only
@@ -92,7 +88,7 @@
         self.jobs[job.id] = job
         if job.req.times > 0:
             self._timed[job.id] = job
-            self._make_due(job, now, wall_s)
+            job.make_due(now, wall_s)
         elif not job.occurrences:
             job.add_occurrence(0, now)
         for step in job.steps():
@@ -206,10 +202,10 @@
         orders: list[Order] = []
         self._apply(self.tracker.lapse(now, keep=self.succession.unheard), now)
         for job in list(self._timed.values()):
-            self._make_due(job, now, wall_s)
+            job.make_due(now, wall_s)
             self._open_steps(job, now)
         self._give_up_reservations(now)
-        self._note_opened(now)
+        self.tracker.note_opened(now)
         for step in [step for step, at in self._ask_again.items() if now >= at]:
             del self._ask_again[step]
             if not step.job.phase.final and not step.done:
@@ -219,27 +215,19 @@
             self.succession.unheard.clear()
             self._settle_gangs()
             self._touched.update(dict.fromkeys(self.waiting.in_order()))
+        open_hosts = self._open_hosts(now)
         for step in self._candidates(now):
-            orders += self._place(step, now)
-        orders += self._take_stops()
+            orders += self._place(step, open_hosts, now)
+            if self._ejector.ejected():
+                # A host on probation takes one task at a time.
+                open_hosts = self._open_hosts(now)
+        orders += self.tracker.take_stops()
         return orders
 
     def retry(self) -> None:
         """Look at all waiting steps at the next decision."""
         self._touched.update(dict.fromkeys(self.waiting.in_order()))
 
-    def _take_stops(self) -> list[StopOrder]:
-        stops, self.tracker.stops = self.tracker.stops, []
-        return stops
-
-    def _note_opened(self, now: float) -> None:
-        """Count hosts that take tasks again as changed, so that what waits is looked at."""
-        for host in self.tracker.hosts.values():
-            opened = host.takes_tasks(now)
-            if opened and not host.was_open:
-                self.tracker.changed.add(host.id)
-            host.was_open = opened
-
     def _candidates(self, now: float) -> list[Step]:
         changed = [self.tracker.hosts[id] for id in self.tracker.changed & set(self.tracker.hosts)]
         self.tracker.changed.clear()
@@ -255,26 +243,26 @@
     def _may_help(self, step: Step, host: Host) -> bool:
         return host.id not in step.approvals.denied and step.req.room.fits(host.room)
 
-    def _usable(self, step: Step, now: float) -> list[Host]:
-        return [
-            host
-            for host in self.tracker.hosts.values()
-            if host.takes_tasks(now)
-            and could_run(step, host)
-            and self._ejector.usable(host.id, now=now)
-        ]
+    def _open_hosts(self, now: float) -> list[Host]:
+        """Return the hosts that may get a task now."""
+        hosts = [host for host in self.tracker.hosts.values() if host.takes_tasks(now)]
+        if self._ejector.ejected():
+            hosts = [host for host in hosts if self._ejector.usable(host.id, now=now)]
+        return hosts
 
-    def _place(self, step: Step, now: float) -> list[Order]:
+    def _place(self, step: Step, open_hosts: list[Host], now: float) -> list[Order]:
         if step.job.inherited and not self.succession.settled(now):
             return []
-        usable = self._usable(step, now)
         advice = step.job.queue.advice
-        allowed = usable
+        allowed = open_hosts
         if advice is not None:
-            allowed = [host for host in usable if host.id in step.approvals.approved]
+            allowed = [host for host in open_hosts if host.id in step.approvals.approved]
         placed = place(step, allowed, slowness=lambda host: self._slowness(step, host))
-        orders = self._reserve(step, placed, now)
+        orders: list[Order] = []
+        if placed or advice is not None:
+            orders += self._reserve(step, placed, now)
         if advice is not None:
+            usable = [host for host in open_hosts if could_run(step, host)]
             orders += self._questions(step, usable, now)
         if not step.waiting():
             self.waiting.discard(step)
@@ -284,10 +272,10 @@
         return 0.0
 
     def _reserve(self, step: Step, placed: Iterable[Placed], now: float) -> list[Order]:
-        attempt = self._gang_attempt(step) if step.req.gang else 0
+        attempt = step.next_attempt() if step.req.gang else 0
         for item in placed:
             task = item.task
-            number = attempt or self._next_attempt(task)
+            number = attempt or task.next_attempt()
             run = Run(
                 task=task,
                 attempt=number,
@@ -300,45 +288,19 @@
             self._ejector.started(item.host.id, step.job.id, now=now)
         return self._start_reserved(step, now)
 
-    def _next_attempt(self, task: Task) -> int:
-        return max(task.attempt + 1, task.step.job.first_attempt)
-
-    def _gang_attempt(self, step: Step) -> int:
-        return max(self._next_attempt(task) for task in step.tasks)
-
     def _start_reserved(self, step: Step, now: float) -> list[Order]:
         """Start the reserved runs of a step that have a ticket, or need none."""
-        reserved = [
-            task.run
-            for task in step.tasks
-            if task.run is not None and task.run.phase is RunPhase.RESERVED
-        ]
-        ready = [
-            (run, ticket) for run in reserved if (ticket := self._ticket(run, now)) is not None
-        ]
+        ready = reservations.redeemable(step, self.tracker.hosts, now)
         if step.req.gang and len(ready) < len(step.tasks):
             return []
         orders: list[Order] = []
         if ready:
-            checkpoint = self._gang_checkpoint(step)
+            checkpoint = step.gang_checkpoint()
             for run, ticket in ready:
                 orders.append(self._start(run, ticket, checkpoint, now))
             self._note_start(step.job)
         return orders
 
-    def _ticket(self, run: Run, now: float) -> str | None:
-        if run.task.step.job.queue.advice is None:
-            return ""
-        host = self.tracker.hosts[run.host]
-        ticket = run.task.step.approvals.ticket(host.id, host.entry.incarnation, now)
-        return ticket or None
-
-    def _gang_checkpoint(self, step: Step) -> str | None:
-        """Return the point that all members of a gang resume from; ``None`` for no gang."""
-        if not step.req.gang:
-            return None
-        return max((task.checkpoint for task in step.tasks), default="")
-
     def _start(self, run: Run, ticket: str, checkpoint: str | None, now: float) -> StartOrder:
         host = self.tracker.hosts[run.host]
         assert host.clock is not None
@@ -370,7 +332,7 @@
         cost = step.job.queue.advice
         if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
             return []
-        wanted = self._without_ticket(step, now)
+        wanted = reservations.hosts_without_ticket(step, self.tracker.hosts, now)
         if not wanted and step.waiting():
             wanted = [host.id for host in usable if approvals.unknown(host.id)]
         if not wanted:
@@ -379,39 +341,10 @@
         approvals.asking.update(hosts)
         return [AdviceOrder(step=step.id, hosts=hosts, cost=cost)]
 
-    def _without_ticket(self, step: Step, now: float) -> list[str]:
-        hosts = {
-            task.run.host
-            for task in step.tasks
-            if task.run is not None
-            and task.run.phase is RunPhase.RESERVED
-            and self._ticket(task.run, now) is None
-        }
-        return sorted(hosts)
-
     def _give_up_reservations(self, now: float) -> None:
-        for step in self._reserving():
-            advice = step.job.queue.advice
-            longest = advice.duration_s(len(step.tasks)) if advice is not None else 0.0
-            for task in step.tasks:
-                run = task.run
-                if run is None or run.phase is not RunPhase.RESERVED:
-                    continue
-                host = self.tracker.hosts[run.host]
-                old = now > run.ordered_at + 2 * longest + RESERVATION_SLACK_S
-                if old or not host.takes_tasks(now):
-                    self.tracker.release(run)
-                    self._enqueue(step)
-
-    def _reserving(self) -> list[Step]:
-        return list(
-            {
-                run.task.step: None
-                for host in self.tracker.hosts.values()
-                for run in host.runs.values()
-                if run.phase is RunPhase.RESERVED
-            }
-        )
+        for run in reservations.overdue(self.tracker.hosts.values(), now):
+            self.tracker.release(run)
+            self._enqueue(run.task.step)
 
     # ------------------------------------------------------------ ends
 
@@ -513,58 +446,26 @@
             if not job.inherited:
                 continue
             for step in job.steps():
-                attempts = {task.run.attempt for task in step.tasks if task.run is not None}
-                whole = len(attempts) == 1 and not step.waiting()
-                if step.req.gang and attempts and not whole:
-                    for attempt in attempts:
-                        self._stop_gang(step, attempt, "the gang was found incomplete")
+                for attempt in step.incomplete_attempts():
+                    self._stop_gang(step, attempt, "the gang was found incomplete")
 
     def _stop_hung(self, host: Host, now: float) -> None:
-        for run in list(host.runs.values()):
-            if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
-                continue
-            if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
-                continue
-            if self._gang_gathers(run, now):
-                continue
+        for run in hung_runs(host, now):
             host.blocked_until = max(host.blocked_until, now + HUNG_PAUSE_S)
             self.tracker.stop(run, "no progress")
 
-    def _gang_gathers(self, run: Run, now: float) -> bool:
-        """Tell whether a gang's run may stand still since other members are not there yet."""
-        step = run.task.step
-        if not step.req.gang:
-            return False
-        runs = [task.run for task in step.tasks]
-        return any(
-            other is None or other.phase is not RunPhase.RUNNING or now - other.ordered_at < HUNG_S
-            for other in runs
-        )
-
     # ------------------------------------------------------------ steps and jobs
 
     def _step(self, id: StepId) -> Step | None:
         job = self.jobs.get(id.job)
         return job.step(id) if job is not None and not job.phase.final else None
 
-    def _make_due(self, job: Job, now: float, wall_s: float) -> None:
-        while job.next_occurrence < job.req.times:
-            number = job.next_occurrence
-            if wall_s < job.req.start_at_s + number * job.req.interval_s:
-                return
-            job.next_occurrence += 1
-            if number not in job.occurrences:
-                job.add_occurrence(number, now)
-
     def _open_steps(self, job: Job, now: float) -> None:
         """Let the steps wait for room whose earlier steps are done."""
         if job.phase.final:
             return
-        for occurrence in job.occurrences.values():
-            for step in occurrence.steps:
-                if step.ready_at is None and all(occurrence.steps[i].done for i in step.req.after):
-                    step.ready_at = now
-                    self._enqueue(step)
+        for step in job.open_steps(now):
+            self._enqueue(step)
 
     def _enqueue(self, step: Step) -> None:
         if step.ready_at is None or step.job.phase.final or step.done:
@@ -583,10 +484,7 @@
             self._mark(job)
 
     def _finish_if_done(self, job: Job) -> None:
-        timed = job.req.times > 0
-        if job.phase.final or (timed and job.next_occurrence < job.req.times):
-            return
-        if job.occurrences and all(occurrence.done for occurrence in job.occurrences.values()):
+        if not job.phase.final and job.all_done:
             self._finish(job, JobPhase.COMPLETE, "all tasks are done")
 
     def _finish(self, job: Job, phase: JobPhase, reason: str) -> None:
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -72,6 +72,9 @@
     heard_at: float = 0.0
     blocked_until: float = 0.0
     was_open: bool = False
+    _room: Sizes = field(factory=Sizes)
+    _room_used: Sizes | None = None
+    _room_capacity: Sizes | None = None
 
     @property
     def id(self) -> str:
@@ -80,8 +83,17 @@
 
     @property
     def room(self) -> Sizes:
-        """What is left of its capacity."""
-        return self.entry.capacity.minus(self.used)
+        """What is left of its capacity.
+
+        Kept until something changes: with a backlog it is looked at for each waiting step, which
+        took a third of all time.
+        """
+        capacity = self.entry.capacity
+        if self._room_used is not self.used or self._room_capacity is not capacity:
+            self._room_used = self.used
+            self._room_capacity = capacity
+            self._room = capacity.minus(self.used)
+        return self._room
 
     def takes_tasks(self, now: float) -> bool:
         """Tell whether it may get a task now."""
--- /dev/null
+++ b/rhubarbferry/dispatch/hung.py
@@ -0,0 +1,38 @@
+"""Find tasks that stand still though their host goes on reporting."""
+
+from __future__ import annotations
+
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Run, RunPhase
+
+# A task whose progress has not moved for this long hangs. Progress is reported in percent, and one
+# percent of the longest tasks seen takes 0.2 s.
+HUNG_S = 2.5
+
+
+def hung_runs(host: Host, now: float) -> list[Run]:
+    """Return the runs of a host that make no progress.
+
+    A hung task never ends by itself: its job would stand still for ever and its room be lost.
+    """
+    return [run for run in host.runs.values() if _is_hung(run, now)]
+
+
+def _is_hung(run: Run, now: float) -> bool:
+    if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
+        return False
+    if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
+        return False
+    return not _waits_for_gang(run, now)
+
+
+def _waits_for_gang(run: Run, now: float) -> bool:
+    """Tell whether a gang's run may stand still since other members are not there yet."""
+    step = run.task.step
+    if not step.req.gang:
+        return False
+    runs = [task.run for task in step.tasks]
+    return any(
+        other is None or other.phase is not RunPhase.RUNNING or now - other.ordered_at < HUNG_S
+        for other in runs
+    )
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -78,6 +78,10 @@
     done: bool = False
     run: Run | None = None
 
+    def next_attempt(self) -> int:
+        """Return the number of its next run, above all that any owner has used."""
+        return max(self.attempt + 1, self.step.job.first_attempt)
+
     @property
     def waits(self) -> bool:
         """Whether it has neither ended nor a run."""
@@ -107,6 +111,22 @@
         """Whether all its tasks have ended well."""
         return self.done_count == len(self.tasks)
 
+    def next_attempt(self) -> int:
+        """Return the number of the next run of a gang, which its members share."""
+        return max(task.next_attempt() for task in self.tasks)
+
+    def gang_checkpoint(self) -> str | None:
+        """Return the point that all members of a gang resume from; ``None`` for no gang."""
+        if not self.req.gang:
+            return None
+        return max((task.checkpoint for task in self.tasks), default="")
+
+    def incomplete_attempts(self) -> set[int]:
+        """Return the attempts of a gang of which some members have no run."""
+        attempts = {task.run.attempt for task in self.tasks if task.run is not None}
+        whole = len(attempts) == 1 and not self.waiting()
+        return attempts if self.req.gang and not whole else set()
+
     def waiting(self) -> list[Task]:
         """Return the tasks that have neither ended nor a run."""
         return [task for task in self.tasks if task.waits]
@@ -164,6 +184,33 @@
         self.occurrences[number] = occurrence
         return occurrence
 
+    def make_due(self, now: float, wall_s: float) -> None:
+        """Make the occurrences of a repeated job whose time of day has come."""
+        while self.next_occurrence < self.req.times:
+            number = self.next_occurrence
+            if wall_s < self.req.start_at_s + number * self.req.interval_s:
+                return
+            self.next_occurrence += 1
+            if number not in self.occurrences:
+                self.add_occurrence(number, now)
+
+    def open_steps(self, now: float) -> list[Step]:
+        """Return the steps that have just become ready: all steps before them are done."""
+        opened = []
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                if step.ready_at is None and all(occurrence.steps[i].done for i in step.req.after):
+                    step.ready_at = now
+                    opened.append(step)
+        return opened
+
+    @property
+    def all_done(self) -> bool:
+        """Whether no task is left, now or later."""
+        if self.next_occurrence < self.req.times or not self.occurrences:
+            return False
+        return all(occurrence.done for occurrence in self.occurrences.values())
+
     def task(self, id: TaskId) -> Task | None:
         """Return one of its tasks, or ``None`` if there is none of that name."""
         occurrence = self.occurrences.get(id.occurrence)
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -61,7 +61,11 @@
     :param hosts: those that may run the step.
     :param slowness: how many times as long work takes on a host.
     """
-    open_hosts = [(host, slots_on(step, host, host.room)) for host in hosts]
+    need = step.req.room
+    fitting = [host for host in hosts if need.fits(host.room) and could_run(step, host)]
+    if not fitting:
+        return []
+    open_hosts = [(host, slots_on(step, host, host.room)) for host in fitting]
     open_hosts = [(host, slots) for host, slots in open_hosts if slots > 0]
     waiting = step.waiting()
     if step.req.gang:
--- /dev/null
+++ b/rhubarbferry/dispatch/reservations.py
@@ -0,0 +1,54 @@
+"""Room that is held for tasks while the tickets for their starts are fetched."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Run, RunPhase, Step
+
+# A reservation that has no ticket by then is given up: its room is wanted by others. Twice the
+# expected time of a question covers one that got no answer and was asked again.
+SLACK_S = 1.5
+
+
+def ticket(run: Run, hosts: Mapping[str, Host], now: float) -> str | None:
+    """Return a good ticket, an empty one where none is needed, ``None`` where it is missing."""
+    if run.task.step.job.queue.advice is None:
+        return ""
+    host = hosts[run.host]
+    found = run.task.step.approvals.ticket(host.id, host.entry.incarnation, now)
+    return found or None
+
+
+def reserved(step: Step) -> list[Run]:
+    """Return the reservations of a step."""
+    runs = [task.run for task in step.tasks if task.run is not None]
+    return [run for run in runs if run.phase is RunPhase.RESERVED]
+
+
+def redeemable(step: Step, hosts: Mapping[str, Host], now: float) -> list[tuple[Run, str]]:
+    """Return the reservations of a step that can be started, each with its ticket."""
+    with_tickets = [(run, ticket(run, hosts, now)) for run in reserved(step)]
+    return [(run, found) for run, found in with_tickets if found is not None]
+
+
+def hosts_without_ticket(step: Step, hosts: Mapping[str, Host], now: float) -> list[str]:
+    """Return the hosts on which a step has reservations that need a ticket."""
+    return sorted({run.host for run in reserved(step) if ticket(run, hosts, now) is None})
+
+
+def overdue(hosts: Iterable[Host], now: float) -> list[Run]:
+    """Return the reservations to give up: too old, or on a host that takes no tasks now."""
+    return [
+        run
+        for host in hosts
+        for run in host.runs.values()
+        if run.phase is RunPhase.RESERVED and (now > _latest(run) or not host.takes_tasks(now))
+    ]
+
+
+def _latest(run: Run) -> float:
+    advice = run.task.step.job.queue.advice
+    longest = advice.duration_s(len(run.task.step.tasks)) if advice is not None else 0.0
+    return run.ordered_at + 2 * longest + SLACK_S
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -326,8 +326,21 @@
                 del self.hosts[host.id]
         return outcomes
 
+    def note_opened(self, now: float) -> None:
+        """Count hosts that take tasks again as changed, so that what waits is looked at."""
+        for host in self.hosts.values():
+            opened = host.takes_tasks(now)
+            if opened and not host.was_open:
+                self.changed.add(host.id)
+            host.was_open = opened
+
     # ------------------------------------------------------------ runs
 
+    def take_stops(self) -> list[StopOrder]:
+        """Return the orders to stop runs since the last call."""
+        stops, self.stops = self.stops, []
+        return stops
+
     def task(self, id: TaskId) -> Task | None:
         """Return a task of a job that has not ended."""
         job = self.jobs.get(id.job)
