--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -29,6 +29,8 @@
 # Members try for the ownership one after the other, each this long after the one before, so
 # that a free ownership costs one write and not one from each member.
 TURN_S = 0.12
+# How long a store that serves this process takes at most, when it is slow.
+REACH_S = 0.45
 # After a term that ended with a failure of this program, others get their turn first.
 FAILURE_PAUSE_S = 1.0
 
@@ -76,6 +78,19 @@
         except StoreError as exc:
             self.around.log.emit("member.not_removed", reason=str(exc)[:200])
 
+    async def reaches_store(self) -> bool:
+        """Tell whether the store answers this process, by asking it.
+
+        What it answered just now is no proof: as an outage begins, each process has still been
+        answered a moment ago, and the owner would hand over for nothing.
+        """
+        try:
+            async with asyncio.timeout(REACH_S):
+                await self.around.store.get(keys.OWNER)
+        except (StoreError, TimeoutError):
+            return False
+        return True
+
     async def take_over(self, fence: int) -> bool:
         """Replace the key of an owner that asks for it; return whether that is done."""
         lease = self.around.keeper.held()
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -47,7 +47,8 @@
 # Between processes a connection costs a beat each second; one that is silent for 2 s is replaced.
 PEER_TIMING = Timing(connect_s=0.5, heartbeat_s=1.0, silence_s=2.0)
 PENDING_S = 0.5
-REACH_S = 0.15
+# The other process asks the store first, which may take 0.45 s.
+REACH_S = 0.6
 # Both ways between regions, and the wait for a turn in the process that asks.
 HOP_S = 0.4
 
@@ -82,7 +83,7 @@
         jobs: JobCalls,
         policy: PolicyService | None,
         count_pending: CountPending,
-        store_reached: Callable[[], bool],
+        store_reached: Callable[[], Awaitable[bool]],
         take_over: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._clock = clock
@@ -116,7 +117,7 @@
         return PingReply()
 
     async def _reach(self, req: StoreReachRequest) -> StoreReachReply:
-        return StoreReachReply(reached=self._store_reached())
+        return StoreReachReply(reached=await self._store_reached())
 
     async def _take(self, req: TakeOverRequest) -> TakeOverReply:
         return TakeOverReply(taken=await self._take_over(req.fence))
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -142,14 +142,28 @@
             await asyncio.sleep(REACH_LOOK_S)
             if self.around.keeper.fresh():
                 continue
-            for member in self._members():
-                if member.name == self.around.own.name:
-                    continue
-                if await self.around.peers.store_reached(member):
-                    # From here on this process must not act, whatever the other one answers.
-                    self.tenure.end(f"the store does not answer; handing over to {member.name}")
-                    await self.around.peers.take_over(member, self.tenure.fence)
-                    self.tenure.check()
+            member = await self._one_that_reaches_the_store()
+            if member is not None and not self.around.keeper.fresh():
+                # From here on this process must not act, whatever the other one answers.
+                self.tenure.end(f"the store does not answer; handing over to {member.name}")
+                await self.around.peers.take_over(member, self.tenure.fence)
+                self.tenure.check()
+
+    async def _one_that_reaches_the_store(self) -> Member | None:
+        """Ask all other processes at once; return the first that the store answers now."""
+        others = [m for m in self._members() if m.name != self.around.own.name]
+        asking = {asyncio.create_task(self.around.peers.store_reached(m)): m for m in others}
+        pending = set(asking)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    if task.result():
+                        return asking[task]
+        finally:
+            for task in pending:
+                task.cancel()
+        return None
 
     # ------------------------------------------------------------ hosts
 
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -109,7 +109,7 @@
             jobs=acceptance,
             policy=self.policy,
             count_pending=self._own_count,
-            store_reached=self.keeper.fresh,
+            store_reached=self.candidate.reaches_store,
             take_over=self.candidate.take_over,
         )
         self.api = ClientApi(
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -175,6 +175,16 @@
     stage.assert_nothing_twice()
 
 
+async def test_an_outage_of_the_store_does_not_make_its_owner_hand_over(stage):
+    """The store goes down for all. Each process has been answered a moment before, so an owner
+    that went by that would stop all starts at once, though it may act until its lease ends."""
+    owner = stage.owner()
+    stage.store.trouble.down = True
+    await asyncio.sleep(2.5)
+    ended = owner.events("term.ended")
+    assert [line["reason"] for line in ended] == ["the lease was not extended in time"]
+
+
 async def test_a_lost_answer_of_the_store_does_not_double_a_job(stage):
     """The store accepts a job and its answer is lost. The client is not told "no", and its
     second try finds the first."""
