Drop settings and parameters that nothing reads; serve on when the metrics port is taken

Cause: the read-through found fields that are decoded and never used, and two cells on one address could not run at once, as a process ended when its fixed port was taken. After: the port is tried, and a line tells when it is not served.

--- a/rhubarbferry/cell/routes.py
+++ b/rhubarbferry/cell/routes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import ClassVar
 
 from attrs import Factory, define, field, frozen
 
@@ -19,18 +18,18 @@
     queue: Queue
 
 
-@frozen(kw_only=True)
+# Largest body that is read before an operator has set a limit.
+DEFAULT_BODY_BYTES = 262_144
+
+
+@frozen(kw_only=True, slots=True)
 class Limits:
     """Bounds on what clients send.
 
     :param body_bytes: largest body.
-    :param idle_s: how long a connection may be idle.
     """
 
-    body_bytes_default: ClassVar[int] = 262144
-
-    body_bytes: int = body_bytes_default
-    idle_s: float = 15.0
+    body_bytes: int = DEFAULT_BODY_BYTES
 
 
 @define(kw_only=True, eq=False)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -348,7 +348,6 @@
                     step=order.step,
                     asked=order.hosts,
                     approvals=found.approvals,
-                    asked_at=asked_at,
                     answered_at=now,
                     valid_s=found.valid_s,
                 ),
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -257,7 +257,7 @@
         allowed = open_hosts
         if advice is not None:
             allowed = [host for host in open_hosts if host.id in step.approvals.approved]
-        placed = place(step, allowed, slowness=lambda host: self._slowness(step, host))
+        placed = place(step, allowed)
         orders: list[Order] = []
         if placed or advice is not None:
             orders += self._reserve(step, placed, now)
@@ -268,9 +268,6 @@
             self.waiting.discard(step)
         return orders
 
-    def _slowness(self, step: Step, host: Host) -> float:
-        return 0.0
-
     def _reserve(self, step: Step, placed: Iterable[Placed], now: float) -> list[Order]:
         attempt = step.next_attempt() if step.req.gang else 0
         for item in placed:
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -359,14 +359,12 @@
     """The answer to a question for approval.
 
     :param asked: the hosts that were asked about; those without an approval may not run it.
-    :param asked_at: time before the question was sent, from which tickets age at worst.
     :param valid_s: validity of the tickets.
     """
 
     step: StepId
     asked: tuple[str, ...]
     approvals: tuple[Approval, ...]
-    asked_at: float
     answered_at: float
     valid_s: float
 
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -10,10 +10,6 @@
 from rhubarbferry.dispatch.job import Step, Task
 from rhubarbferry.dispatch.messages import Sizes
 
-# Preference for a host in another rack than the data, against packing: a task there takes
-# several times as long, which no packing makes up for.
-FAR_PENALTY = 1_000_000
-
 
 @frozen(kw_only=True, slots=True)
 class Placed:
@@ -53,13 +49,12 @@
     return sum(1 for task in step.tasks if task.run is not None and task.run.host == host.id)
 
 
-def place(step: Step, hosts: Iterable[Host], *, slowness: Callable[[Host], float]) -> list[Placed]:
+def place(step: Step, hosts: Iterable[Host]) -> list[Placed]:
     """Return hosts for as many waiting tasks as there is room for.
 
     A gang gets hosts for all its tasks or none.
 
     :param hosts: those that may run the step.
-    :param slowness: how many times as long work takes on a host.
     """
     need = step.req.room
     fitting = [host for host in hosts if need.fits(host.room) and could_run(step, host)]
@@ -70,14 +65,15 @@
     waiting = step.waiting()
     if step.req.gang:
         return _place_gang(step, waiting, open_hosts)
-    open_hosts.sort(key=lambda pair: _rank(step, pair[0], slowness))
+    open_hosts.sort(key=lambda pair: _rank(step, pair[0]))
     return _fill(waiting, open_hosts)
 
 
-def _rank(step: Step, host: Host, slowness: Callable[[Host], float]) -> tuple[float, float, str]:
+def _rank(step: Step, host: Host) -> tuple[bool, int, str]:
     far = bool(step.req.near_rack) and step.req.near_rack not in host.entry.labels
     left = host.room.millicores - step.req.room.millicores
-    return (FAR_PENALTY if far else 0) + slowness(host), left, host.id
+    # A task far from its data takes several times as long, which no packing makes up for.
+    return far, left, host.id
 
 
 def _fill(waiting: list[Task], open_hosts: list[tuple[Host, int]]) -> list[Placed]:
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import cattrs
-from attrs import evolve, frozen
+from attrs import frozen
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn
 
 from rhubarbferry.dispatch.job import Job, JobPhase, Step
@@ -141,8 +141,3 @@
         task.checkpoint = str(saved.get(key, ""))
     step.done_count = sum(task.done for task in step.tasks)
     step.ever_started = bool(done or failed or saved or step.failed_attempts)
-
-
-def with_queue(record: JobRecord, queue: Queue | None) -> JobRecord:
-    """Return the record with the queue as it is configured now, if it still is."""
-    return record if queue is None else evolve(record, queue=queue)
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -11,7 +11,7 @@
 
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
-from rhubarbferry.cell.routes import Route, RouteTable
+from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Route, RouteTable
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
 from rhubarbferry.frontend.http import ABORT
@@ -144,7 +144,7 @@
         except ValueError:
             wait_s = DEFAULT_DEADLINE_S
         routes = self.routes()
-        limit = routes.limits.body_bytes if routes is not None else 262144
+        limit = routes.limits.body_bytes if routes is not None else DEFAULT_BODY_BYTES
         parts = []
         size = 0
         more = True
--- a/rhubarbferry/platform/configuration.py
+++ b/rhubarbferry/platform/configuration.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from rhubarbferry.cell.routes import Limits, Route, RouteTable
+from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Limits, Route, RouteTable
 from rhubarbferry.dispatch.messages import AdviceCost, Queue
 
 KEY = "op/config"
@@ -34,10 +34,7 @@
         version=version,
         revision=revision,
         routes=routes,
-        limits=Limits(
-            body_bytes=int(limits.get("maxBodyBytes", Limits.body_bytes_default)),
-            idle_s=float(limits.get("idleTimeoutMs", 15000)) / 1000,
-        ),
+        limits=Limits(body_bytes=int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))),
     )
 
 
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 from pathlib import Path
 
 from attrs import define, field
@@ -26,7 +27,7 @@
 from rhubarbferry.platform.directory import PlatformDirectory
 from rhubarbferry.platform.health_api import build_app
 from rhubarbferry.platform.policy import PlatformPolicy
-from rhubarbferry.platform.serving import serve
+from rhubarbferry.platform.serving import listen, serve
 from rhubarbferry.platform.settings import SETTINGS_VARIABLE, ProcessFile, SettingsFileError, load
 from rhubarbferry.platform.store import PlatformStore
 from rhubarbferry.platform.workers import PlatformWorkers
@@ -38,6 +39,8 @@
 LEAVE_ROTATION_S = 2.6
 # Left of the grace time for the process to end by itself.
 EXIT_RESERVE_S = 1.0
+# How long a connection to this process may be idle.
+IDLE_S = 75
 # Between two looks at the settings file, which may change without a signal.
 SETTINGS_LOOK_S = 2.0
 # A count is asked of the owner at most this often for each queue; it may be 2 s old.
@@ -139,11 +142,14 @@
             asyncio.create_task(self._follow_settings()),
         ]
         servers = [
-            serve(health, address=self.file.addresses.health, idle_s=75),
-            serve(health, address=self.file.addresses.metrics, idle_s=75),
-            serve(self.api, address=self.file.addresses.clients, idle_s=75),
+            serve(health, address=self.file.addresses.health, idle_s=IDLE_S),
+            serve(self.api, address=self.file.addresses.clients, idle_s=IDLE_S),
         ]
         serving = [asyncio.create_task(server.serve()) for server in servers]
+        metrics = self._metrics_socket()
+        if metrics is not None:
+            servers.append(serve(health, address=self.file.addresses.metrics, idle_s=IDLE_S))
+            serving.append(asyncio.create_task(servers[-1].serve(sockets=[metrics])))
         stopping = asyncio.create_task(self.signals.stop.wait())
         await asyncio.wait([*tasks, *serving, stopping], return_when=asyncio.FIRST_COMPLETED)
         for task in tasks + serving:
@@ -162,6 +168,16 @@
             await self.policy.close()
         await self.store.close()
 
+    def _metrics_socket(self) -> socket.socket | None:
+        """Listen on the port that does not change; without it the process serves all the same."""
+        try:
+            return listen(self.file.addresses.metrics)
+        except OSError as exc:
+            self.log.emit(
+                "metrics.not_served", address=self.file.addresses.metrics, reason=str(exc)
+            )
+            return None
+
     async def _leave(self) -> None:
         grace_s = self.file.cell.bounds.grace_s
         self.leaving = True
--- a/rhubarbferry/platform/serving.py
+++ b/rhubarbferry/platform/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -26,6 +27,22 @@
         yield
 
 
+def listen(address: str) -> socket.socket:
+    """Return a socket bound to ``ip:port``.
+
+    :raises OSError: when that is not possible, as when another process has the port.
+    """
+    ip, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((ip, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def serve(app: Any, *, address: str, idle_s: int) -> HttpServer:
     """Return a server for an ASGI application.
 
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from rhubarbferry.cell.settings import Bounds, CellSettings, StoreRates
+from rhubarbferry.cell.settings import Bounds, CellSettings
 
 SETTINGS_VARIABLE = "RHUBARBFERRY_SETTINGS"
 # The peers' calls use the first of the ports that the platform leaves to this system.
@@ -72,15 +72,9 @@
         raise SettingsFileError("portRange: no ports; name the first and the last free one")
     ip = reader.value("ip", str)
     bounds = Bounds(
-        drain_s=reader.seconds("bounds.drainMs", 2500),
         grace_s=float(reader.value("bounds.graceS", (int, float), 6)),
-        config_apply_s=reader.seconds("bounds.configApplyMs", 2500),
         task_lease_s=reader.seconds("bounds.holdMaxMs", 6000),
-        stop_s=reader.seconds("bounds.killGraceMs", 1000),
-        gang_gather_s=reader.seconds("bounds.gangTimeoutMs", 3000),
-        cancel_s=reader.seconds("bounds.cancel_ms", 3000),
         status_s=float(reader.value("bounds.status_s", (int, float), 120)),
-        remote_slowdown=float(reader.value("bounds.remoteSlowdown", (int, float), 1)),
     )
     cell = CellSettings(
         member=reader.value("nodeName", str),
@@ -88,11 +82,6 @@
         # The platform's zone is what this project calls a failure domain.
         failure_domain=reader.value("zone", str),
         bounds=bounds,
-        rates=StoreRates(
-            writes_per_s=float(reader.value("platform.writesPerS", (int, float), 400)),
-            reads_per_s=float(reader.value("platform.readsPerS", (int, float), 2000)),
-            min_lease_s=reader.seconds("platform.ttlMinMs", 1000),
-        ),
     )
     return ProcessFile(
         cell=cell,
