Drop events, a constant and a result that nothing reads

Found by reading the change again: two events that are set and never waited for, a constant that is not used, the unread result of writing a log line, and a cost in a comment that no run gave.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from attrs import define, field
+from attrs import define
 from loguru import logger
 
 from rhubarbferry.cell import keys
@@ -50,7 +50,6 @@
     _audited_at: float = -AUDIT_S
     _registered: int = 0
     _free_since: float | None = None
-    heard: asyncio.Event = field(factory=asyncio.Event)
 
     async def run(self) -> None:
         """Take part until cancelled."""
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -26,14 +26,12 @@
 class LeaseKeeper:
     """Open a lease and extend it until told to stop.
 
-    :ivar changed: set whenever a lease is gained or lost.
     :ivar answered_at: when the store last granted or extended it.
     """
 
     clock: Clock
     store: TxnStore
     log: EventLog
-    changed: asyncio.Event = field(factory=asyncio.Event)
     lease: Lease | None = None
     answered_at: float = float("-inf")
     _incarnation: int = 0
@@ -86,7 +84,6 @@
             margin_s=MARGIN_S,
         )
         self.log.emit("lease.granted", lease=id, outcome="store reached")
-        self.changed.set()
 
     async def _renew(self, lease: Lease) -> None:
         asked_at = self.clock.monotonic()
@@ -106,4 +103,3 @@
         assert self.lease is not None
         self.log.emit("lease.lost", lease=self.lease.id, reason=reason)
         self.lease = None
-        self.changed.set()
--- a/rhubarbferry/cell/logs.py
+++ b/rhubarbferry/cell/logs.py
@@ -17,7 +17,7 @@
 )
 
 # Lines of one kind: at most this many at once and, lasting, this many a second. A busy owner
-# decides some hundred times a second; a line costs about 20 us of processor time.
+# decides some hundred times a second.
 BURST_LINES = 400.0
 LINES_PER_S = 150.0
 
@@ -30,22 +30,20 @@
         self._rest = b""
         os.set_blocking(fd, False)
 
-    def write(self, line: str) -> bool:
-        """Write one line; return whether it went out or will."""
+    def write(self, line: str) -> None:
+        """Write one line, or drop it."""
         # A reader that has stopped reading fills the pipe, and a blocking write would stop all
         # work with it. What does not fit is dropped and counted.
         data = self._rest + line.encode(errors="replace") + b"\n"
-        had_rest = bool(self._rest)
         try:
             sent = os.write(self._fd, data)
         except BlockingIOError:
             LINES_DROPPED.labels("reader is slow").inc()
-            return False
+            return
         except OSError:
             LINES_DROPPED.labels("output is closed").inc()
-            return False
-        self._rest = data[sent:] if had_rest or sent else b""
-        return True
+            return
+        self._rest = data[sent:]
 
 
 @define(kw_only=True, eq=False)
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -9,8 +9,6 @@
 
 from attrs import frozen
 
-MILLICORES_PER_CORE = 1000
-
 
 @frozen(kw_only=True, slots=True)
 class Sizes:
