Ask the owner for phases and tell it of jobs; follow the store without whole reads

Change: the owner answers for jobs that it has on record; the process that accepts a job does so under the condition that the owner it knows still stands, and tells it; while steps wait for room the owner's watch gathers changes for 0.2 s. A watch no longer goes on from the revision of an empty answer, so what a deaf watch misses is found without whole reads. Processes near the store come first at elections.

Also: a process whose address another one has says so in one line; the metrics port is claimed by listening, as two processes may bind it and only the second's listening fails. That, or two equal ports handed out by the tests' stage (seen: clients and health both on 37385, once in 180 starts), kept a process from becoming ready; the stage now holds the ports while it chooses, and fails at once with the process's output when it has ended.

--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -10,6 +10,8 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.cell.owner_link import OwnerLink
+from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import (
     JobRecord,
@@ -20,6 +22,7 @@
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import (
     Committed,
+    Conflict,
     Expect,
     Put,
     StoreError,
@@ -39,6 +42,7 @@
 class Acceptance:
     """Clients' jobs in the store. It needs no owner: any process accepts at any time.
 
+    :param owner: told of each new job, so that it starts at once.
     :param reached: tells whether the store answers this process now. While it does not, calls
         that would only fail are not sent: in an outage they would multiply, and be paid for.
     """
@@ -46,6 +50,7 @@
     clock: Clock
     store: TxnStore
     log: EventLog
+    owner: OwnerLink
     reached: Callable[[], bool]
 
     async def submit(self, record: JobRecord, *, deadline: float) -> Accepted:
@@ -58,32 +63,23 @@
         :param deadline: monotonic time by which the client must have its answer.
         """
         id = record.req.id
-        txn = Txn(
-            expect=(Expect(key=keys.STATES + id, revision=0),),
-            put=(
-                Put(key=keys.STATES + id, value=encode_phase(JobPhase.QUEUED)),
-                Put(key=keys.JOBS + id, value=encode_request(record)),
-            ),
-        )
+        value = encode_request(record)
+        fence = self.owner.fence()
         unclear = False
         reason = ""
         while True:
             try:
                 self._check_reached()
-                result = await self.store.commit(txn)
+                result = await self.store.commit(_acceptance(id, value, fence))
             except StoreError as exc:
                 unclear = unclear or isinstance(exc, StoreUnclear)
                 reason = str(exc)[:200]
             else:
-                new = isinstance(result, Committed)
-                revision = result.revision if isinstance(result, Committed) else None
-                self.log.emit(
-                    "job.accepted",
-                    job=id,
-                    queue=record.queue.name,
-                    revision=revision,
-                    outcome="new" if new else "known already",
-                )
+                if isinstance(result, Conflict) and keys.STATES + id not in result.items:
+                    # Not the owner that this process knows. Its successor finds the job by itself.
+                    fence = 0
+                    continue
+                self._accepted(record, value, result, fence)
                 return Accepted.YES
             if not unclear:
                 # Nothing was written, and waiting would only use up the client's time.
@@ -94,6 +90,25 @@
                 return Accepted.UNCLEAR
             await asyncio.sleep(RETRY_S)
 
+    def _accepted(
+        self, record: JobRecord, value: bytes, result: Committed | Conflict, fence: int
+    ) -> None:
+        id = record.req.id
+        revision = None
+        if isinstance(result, Committed):
+            revision = result.revision
+            if fence:
+                job = AcceptedJob(id=id, record=value, revision=revision, fence=fence)
+                self.owner.accepted(job)
+        self.log.emit(
+            "job.accepted",
+            job=id,
+            queue=record.queue.name,
+            revision=revision,
+            fence=fence,
+            outcome="known already" if revision is None else "new",
+        )
+
     async def phase(self, id: str) -> JobPhase | None:
         """Return the phase of a job, or ``None`` when there is no such job."""
         try:
@@ -131,3 +146,21 @@
     async def _read(self, id: str) -> JobPhase | None:
         item = await self.store.get(keys.STATES + id)
         return None if item is None else decode_phase(item.value)
+
+
+def _acceptance(id: str, value: bytes, fence: int) -> Txn:
+    """Return the transaction that accepts a job.
+
+    :param fence: the ownership that must be in force, so that its holder may be told of the job
+        as its own; 0 for any.
+    """
+    expect = [Expect(key=keys.STATES + id, revision=0)]
+    if fence:
+        expect.append(Expect(key=keys.OWNER, revision=fence))
+    return Txn(
+        expect=tuple(expect),
+        put=(
+            Put(key=keys.STATES + id, value=encode_phase(JobPhase.QUEUED)),
+            Put(key=keys.JOBS + id, value=value),
+        ),
+    )
--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -4,27 +4,27 @@
 
 import asyncio
 
-from attrs import define
+from attrs import define, evolve, field
 from loguru import logger
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import Surroundings, Tenure
-from rhubarbferry.cell.members import Ownership, encode_member, rank
+from rhubarbferry.cell.following import PrefixFollower
+from rhubarbferry.cell.members import Member, Ownership, encode_member, rank
 from rhubarbferry.cell.term import Term
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.ports.store import (
+    Changes,
     Committed,
     Expect,
+    Listing,
     Put,
     StoreError,
     Txn,
-    WatchBroken,
 )
 
 # How long one watch call waits.
 WATCH_S = 2.0
-# A watch may miss changes without saying so; a whole read now and then finds them.
-AUDIT_S = 4.0
 RETRY_S = 0.2
 # Members try for the ownership one after the other, each this long after the one before, so
 # that a free ownership costs one write and not one from each member.
@@ -46,19 +46,19 @@
     term: Term | None = None
     _draining: bool = False
     _running: asyncio.Task[None] | None = None
-    _revision: int = 0
-    _audited_at: float = -AUDIT_S
+    _follower: PrefixFollower = field(init=False)
     _registered: int = 0
     _free_since: float | None = None
+    _election: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self._follower = self.around.follow(keys.CONTROL)
 
     async def run(self) -> None:
         """Take part until cancelled."""
         while True:
             try:
                 await self._step()
-            except WatchBroken as exc:
-                self.around.log.emit("watch.broken", prefix=keys.CONTROL, reason=str(exc))
-                self._audited_at = -AUDIT_S
             except StoreError as exc:
                 self.around.log.emit("cell.not_read", reason=str(exc)[:200])
                 await asyncio.sleep(RETRY_S)
@@ -110,23 +110,19 @@
             return
         if lease.id != self._registered and not self._draining:
             await self._register(lease)
-        now = self.around.clock.monotonic()
-        if now - self._audited_at >= AUDIT_S:
-            listing = await self.around.store.list(keys.CONTROL)
-            self.around.view.replace(listing.items)
-            self._revision = listing.revision
-            self._audited_at = now
+        if not self._follower.listed:
+            await self._watch(0.0)
         ownership = self.around.view.ownership
         if ownership is not None:
             self._free_since = None
             if self._is_ours(ownership, lease):
-                await self._own(ownership, lease)
+                await self._hold(ownership, lease)
                 return
         if self._draining:
             await self._watch(WATCH_S)
         elif ownership is None:
             await self._wait_for_turn_and_own(lease)
-        elif ownership.owner == self.around.own:
+        elif ownership.owner.address == self.around.own.address:
             # The key of an earlier life of this process: there is one process to an address, so
             # that one has ended. Waiting for its lease to end would only lengthen the gap.
             await self._try_to_own(lease, replaces=ownership.fence)
@@ -134,17 +130,24 @@
             await self._watch(WATCH_S)
 
     async def _watch(self, wait_s: float) -> None:
-        changes = await self.around.store.changes(keys.CONTROL, after=self._revision, wait_s=wait_s)
-        self.around.view.apply(changes.events)
-        self._revision = max(self._revision, changes.revision)
+        match await self._follower.next(wait_s):
+            case Listing(items=items, revision=revision):
+                self.around.view.replace(items)
+                self._election = revision
+            case Changes(events=events, revision=revision) if events:
+                self.around.view.apply(events)
+                self._election = revision
 
     async def _register(self, lease: Lease) -> None:
         key = keys.MEMBERS + self.around.own.name
-        value = encode_member(self.around.own)
+        value = encode_member(self._own())
         await self.around.store.commit(Txn(put=(Put(key=key, value=value, lease_id=lease.id),)))
         self._registered = lease.id
         self.around.log.emit("member.registered", lease=lease.id)
 
+    def _own(self) -> Member:
+        return evolve(self.around.own, store_s=round(self.around.keeper.round_trip_s, 3))
+
     def _is_ours(self, ownership: Ownership, lease: Lease) -> bool:
         return ownership.owner.name == self.around.own.name and ownership.lease_id == lease.id
 
@@ -152,7 +155,7 @@
         now = self.around.clock.monotonic()
         if self._free_since is None:
             self._free_since = now
-        place = rank(self.around.own.name, self.around.view.members, seed=self._revision)
+        place = rank(self._own(), self.around.view.members.values(), seed=self._election)
         left = self._free_since + place * TURN_S - now
         if left > 0:
             await self._watch(left)
@@ -161,10 +164,10 @@
 
     async def _try_to_own(self, lease: Lease, *, replaces: int) -> None:
         ownership = await self._write_key(lease, replaces=replaces)
-        self._audited_at = -AUDIT_S
+        self._follower.restart()
         if ownership is not None:
             self.around.view.ownership = ownership
-            await self._own(ownership, lease)
+            await self._hold(ownership, lease)
 
     async def _write_key(self, lease: Lease, *, replaces: int) -> Ownership | None:
         """Write the owner's key; return the ownership if it was won.
@@ -182,7 +185,7 @@
             return None
         return Ownership(owner=self.around.own, fence=result.revision, lease_id=lease.id)
 
-    async def _own(self, ownership: Ownership, lease: Lease) -> None:
+    async def _hold(self, ownership: Ownership, lease: Lease) -> None:
         tenure = Tenure(keeper=self.around.keeper, lease_id=lease.id, fence=ownership.fence)
         term = Term(around=self.around, tenure=tenure)
         self.around.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
@@ -202,7 +205,7 @@
             failed = True
         self.term = None
         await self._give_up(term)
-        self._audited_at = -AUDIT_S
+        self._follower.restart()
         if failed:
             await asyncio.sleep(FAILURE_PAUSE_S)
 
--- a/rhubarbferry/cell/cleaner.py
+++ b/rhubarbferry/cell/cleaner.py
@@ -65,7 +65,7 @@
             await self._remove([keys.STATES + id for id in ids])
             for id in ids:
                 del self._ended_at[id]
-                self.ctx.dispatcher.ended.discard(id)
+                self.ctx.dispatcher.ended.pop(id, None)
 
     async def _remove(self, names: list[str]) -> None:
         txn = Txn(expect=(self.ctx.tenure.condition(),), delete=tuple(names))
--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -5,18 +5,17 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
+from rhubarbferry.cell.following import PrefixFollower
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.ports.clock import Clock
-from rhubarbferry.ports.store import KeyPut, KeyValue, StoreError, TxnStore, WatchBroken
+from rhubarbferry.ports.store import Changes, KeyPut, KeyValue, Listing, StoreError, TxnStore
 
-# A configuration must be in force within 2.5 s of its being accepted. A watch that has gone
-# silent is found after this wait and 0.6 s more, and a read follows.
-WATCH_S = 1.2
-# A watch may miss changes without saying so; a read of the key now and then finds them.
-AUDIT_S = 2.0
+# A configuration must be in force within 2.5 s of its being accepted, from 4 s after a connection
+# has gone silent. That is found after this wait and 0.6 s more, and a read follows.
+WATCH_S = 2.4
 RETRY_S = 0.3
 
 Decode = Callable[[bytes, int], RouteTable | None]
@@ -30,7 +29,6 @@
     :param decode: returns the routes for a value and its revision, or ``None`` when the value
         can't be used.
     :ivar routes: ``None`` until the first has come.
-    :ivar read_at: when the store last answered.
     """
 
     clock: Clock
@@ -38,42 +36,39 @@
     log: EventLog
     key: str
     decode: Decode
+    history_s: float
     routes: RouteTable | None = None
-    read_at: float = float("-inf")
-    _revision: int = 0
-    _audited_at: float = float("-inf")
+    _follower: PrefixFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._follower = PrefixFollower(
+            clock=self.clock,
+            store=self.store,
+            log=self.log,
+            prefix=self.key,
+            history_s=self.history_s,
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             try:
                 await self._follow()
-                self.read_at = self.clock.monotonic()
-            except WatchBroken as exc:
-                self.log.emit("watch.broken", prefix=self.key, reason=str(exc))
-                self._audited_at = float("-inf")
             except StoreError as exc:
                 self.log.emit("configuration.not_read", reason=str(exc)[:200])
-                self._audited_at = float("-inf")
+                # The watch may have gone silent long before, so what it has missed is read first.
+                self._follower.restart()
                 await asyncio.sleep(RETRY_S)
 
     async def _follow(self) -> None:
-        now = self.clock.monotonic()
-        if now - self._audited_at >= AUDIT_S:
-            listing = await self.store.list(self.key)
-            self._revision = max(self._revision, listing.revision)
-            self._audited_at = now
-            for item in listing.items:
-                self._take(item)
-        if self.routes is None:
-            await asyncio.sleep(RETRY_S)
-            self._audited_at = float("-inf")
-            return
-        changes = await self.store.changes(self.key, after=self._revision, wait_s=WATCH_S)
-        self._revision = max(self._revision, changes.revision)
-        for event in changes.events:
-            if isinstance(event, KeyPut):
-                self._take(event.kv)
+        match await self._follower.next(WATCH_S):
+            case Listing(items=items):
+                for item in items:
+                    self._take(item)
+            case Changes(events=events):
+                for event in events:
+                    if isinstance(event, KeyPut):
+                        self._take(event.kv)
 
     def _take(self, item: KeyValue) -> None:
         if item.key != self.key:
--- a/rhubarbferry/cell/context.py
+++ b/rhubarbferry/cell/context.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 
 from rhubarbferry.cell import keys
+from rhubarbferry.cell.following import PrefixFollower
 from rhubarbferry.cell.lease import LeaseKeeper
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member
@@ -75,6 +76,16 @@
     peers: PeerClient
     routes: Callable[[], RouteTable | None]
 
+    def follow(self, prefix: str) -> PrefixFollower:
+        """Return a follower of the keys under a prefix."""
+        return PrefixFollower(
+            clock=self.clock,
+            store=self.store,
+            log=self.log,
+            prefix=prefix,
+            history_s=self.cfg.bounds.history_s,
+        )
+
 
 @define(kw_only=True, eq=False)
 class TermContext:
--- a/rhubarbferry/cell/detour.py
+++ b/rhubarbferry/cell/detour.py
@@ -12,6 +12,7 @@
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member
+from rhubarbferry.cell.owner_link import OwnerLink
 from rhubarbferry.cell.peers import PeerClient
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
@@ -39,6 +40,7 @@
     The store may turn single processes away, silently or not, while it serves the others. Their
     clients would be refused, or wait in vain for their whole time, though the cell is well.
 
+    :param owner: answers questions about jobs in progress, which saves calls to the store.
     :param reached: tells whether the store answers this process now.
     """
 
@@ -48,6 +50,7 @@
     view: CellView
     peers: PeerClient
     direct: JobCalls
+    owner: OwnerLink
     reached: Callable[[], bool]
 
     async def submit(self, record: JobRecord, *, deadline: float) -> Accepted:
@@ -71,6 +74,9 @@
 
     async def phase(self, id: str) -> JobPhase | None:
         """Return the phase of a job, or ``None`` when there is no such job."""
+        known = await self.owner.phase(id)
+        if known is not None:
+            return known
 
         async def read(way: Coroutine[Any, Any, JobPhase | None]) -> JobPhase | None | PhaseUnknown:
             try:
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -4,31 +4,36 @@
 
 import asyncio
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import OwnershipLost, TermContext
+from rhubarbferry.cell.following import PrefixFollower
+from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.dispatch.job import Job, JobPhase
 from rhubarbferry.dispatch.record import (
     RecordError,
+    decode_phase,
     decode_request,
     encode_phase,
     restore_state,
 )
 from rhubarbferry.ports.store import (
+    Changes,
     KeyDeleted,
     KeyPut,
     KeyValue,
     Listing,
     StoreError,
-    WatchBroken,
+    WatchEvent,
 )
 
 # How long one watch call waits; a watch that has gone silent is found 0.6 s after that.
 WATCH_S = 1.0
-# A watch may miss changes without saying so for as long as it goes on. A whole read now and then
-# finds them; it costs one reading call.
-AUDIT_S = 2.0
+# While steps wait for room, changes within this time share one call: a new job would wait as well.
+# It delays cancellations, the loss of ownership, and jobs whose notice was lost. With room to
+# spare the watch is asked again at once, as it shows a job up to 40 ms before its notice.
+GATHER_S = 0.2
 RETRY_S = 0.1
 
 
@@ -43,8 +48,10 @@
     ctx: TermContext
     loaded: bool = False
     states: tuple[str, ...] = ()
-    _revision: int = 0
-    _audited_at: float = 0.0
+    _follower: PrefixFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._follower = self.ctx.around.follow(keys.CELL)
 
     async def load(self) -> None:
         """Read what is on record.
@@ -57,8 +64,11 @@
             item.key.removeprefix(keys.STATES): item
             for item in (await store.list(keys.STATES)).items
         }
-        listing = await store.list(keys.CELL)
-        self._take_listing(listing, states)
+        found = await self._follower.next(WATCH_S)
+        assert isinstance(found, Listing)
+        self._take_listing(found, states)
+        for id, item in states.items():
+            self._note_if_ended(id, item)
         self.states = tuple(states)
         self.loaded = True
 
@@ -70,28 +80,56 @@
         while True:
             try:
                 await self._follow()
-            except WatchBroken as exc:
-                self.ctx.around.log.emit("watch.broken", prefix=keys.CELL, reason=str(exc))
-                self._audited_at = 0.0
             except StoreError as exc:
                 self.ctx.around.log.emit("watch.failed", prefix=keys.CELL, reason=str(exc)[:200])
                 await asyncio.sleep(RETRY_S)
 
     async def _follow(self) -> None:
-        store = self.ctx.around.store
-        if self.ctx.now() - self._audited_at >= AUDIT_S:
-            self._take_listing(await store.list(keys.CELL), {})
-        changes = await store.changes(keys.CELL, after=self._revision, wait_s=WATCH_S)
-        self.ctx.around.view.apply(changes.events)
-        for event in changes.events:
+        match await self._follower.next(WATCH_S):
+            case Listing() as listing:
+                self._take_listing(listing, {})
+            case Changes(events=events) if events:
+                self._take_events(events)
+                if len(self.ctx.dispatcher.waiting):
+                    await asyncio.sleep(GATHER_S)
+
+    def _take_events(self, events: tuple[WatchEvent, ...]) -> None:
+        self.ctx.around.view.apply(events)
+        for event in events:
             match event:
                 case KeyPut(kv=kv):
                     self._put(kv, {})
                 case KeyDeleted(key=key) if key == keys.OWNER:
                     self._lost("its key was removed")
-        self._revision = max(self._revision, changes.revision)
-        if changes.events:
-            self.ctx.wake.set()
+        self.ctx.wake.set()
+
+    def accepted(self, job: AcceptedJob) -> bool:
+        """Take on a job that another process tells of, before the watch shows it.
+
+        The process has accepted it under the condition that the owner's key stood at ``fence``.
+        Without that a job accepted after a takeover could reach the owner before, which would
+        start it as its own while the new owner does the same.
+        """
+        if not self.loaded or job.fence != self.ctx.tenure.fence or not self.ctx.tenure.holds():
+            return False
+        kv = KeyValue(
+            key=keys.JOBS + job.id,
+            value=job.record,
+            mod_revision=job.revision,
+            create_revision=job.revision,
+        )
+        self._job(kv, {})
+        self.ctx.wake.set()
+        return True
+
+    def _note_if_ended(self, id: str, state: KeyValue) -> None:
+        try:
+            phase = decode_phase(state.value)
+        except RecordError as exc:
+            self.ctx.around.log.emit("job.unreadable", job=id, reason=str(exc))
+            return
+        if phase.final:
+            self.ctx.dispatcher.ended[id] = phase
 
     def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
         self.ctx.around.view.replace(
@@ -103,8 +141,6 @@
         # Jobs first: a cancellation is of use only once its job is known.
         for item in sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS)):
             self._put(item, states)
-        self._revision = max(self._revision, listing.revision)
-        self._audited_at = self.ctx.now()
         self.ctx.wake.set()
 
     def _lost(self, reason: str) -> None:
@@ -141,7 +177,7 @@
             return
         if job.phase.final:
             # The owner before has recorded its end and not yet removed the request.
-            self.ctx.dispatcher.ended.add(id)
+            self.ctx.dispatcher.ended[id] = job.phase
             self.ctx.removable.append(id)
             return
         wall_s = self.ctx.around.clock.wall()
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -27,6 +27,7 @@
     """Open a lease and extend it until told to stop.
 
     :ivar answered_at: when the store last granted or extended it.
+    :ivar round_trip_s: how long the last grant took.
     """
 
     clock: Clock
@@ -34,6 +35,7 @@
     log: EventLog
     lease: Lease | None = None
     answered_at: float = float("-inf")
+    round_trip_s: float = 0.0
     _incarnation: int = 0
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
@@ -76,6 +78,7 @@
             return
         self._incarnation += 1
         self.answered_at = self.clock.monotonic()
+        self.round_trip_s = self.answered_at - asked_at
         self.lease = Lease.granted(
             id=id,
             incarnation=self._incarnation,
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -17,12 +17,14 @@
     """One process of the cell.
 
     :param address: ``ip:port`` of its calls from other processes.
+    :param store_s: about how long the store's answers take to reach it.
     """
 
     name: str
     address: str
     region: str
     failure_domain: str
+    store_s: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
@@ -92,14 +94,23 @@
             self.members.pop(key.removeprefix(keys.MEMBERS), None)
 
 
-def rank(name: str, members: Iterable[str], *, seed: int) -> int:
+# Round trips to the store that differ by less than this count as alike: another region adds 40 ms.
+ALIKE_S = 0.02
+
+
+def rank(own: Member, members: Iterable[Member], *, seed: int) -> int:
     """Return the place of a member among those that may become owner next.
 
-    :param seed: changes the order from one election to the next.
+    Those near the store come first. Each acceptance reaches the owner through the store, and each
+    end is recorded there before a client is told, so an owner in another region makes both 40 ms
+    later.
+
+    :param seed: changes the order among the others from one election to the next.
     """
 
-    def weight(member: str) -> int:
-        return xxhash.xxh64_intdigest(member.encode(), seed=seed & 0xFFFFFFFF)
+    def place(member: Member) -> tuple[int, int]:
+        weight = xxhash.xxh64_intdigest(member.name.encode(), seed=seed & 0xFFFFFFFF)
+        return int(member.store_s / ALIKE_S), weight
 
-    own = weight(name)
-    return sum(1 for member in members if member != name and weight(member) < own)
+    mine = place(own)
+    return sum(1 for member in members if member.name != own.name and place(member) < mine)
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
+from attrs import frozen
 from loguru import logger
 
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
@@ -25,6 +27,10 @@
     ApprovalReply,
     ApprovalRequest,
     HostApproval,
+    JobNotice,
+    JobNoticeReply,
+    OwnedPhaseReply,
+    OwnedPhaseRequest,
     PendingReply,
     PendingRequest,
     PingReply,
@@ -47,6 +53,8 @@
 # Between processes a connection costs a beat each second; one that is silent for 2 s is replaced.
 PEER_TIMING = Timing(connect_s=0.5, heartbeat_s=1.0, silence_s=2.0)
 PENDING_S = 0.5
+# A notice that takes longer is of no use: the owner's watch shows the job by then.
+NOTICE_S = 0.5
 # The other process asks the store first, which may take 0.45 s.
 REACH_S = 0.6
 # Both ways between regions, and the wait for a turn in the process that asks.
@@ -56,8 +64,6 @@
 RETURN_S = 0.1
 PHASE_S = 0.8
 
-CountPending = Callable[[str], int | None]
-
 WORDS = {
     Accepted.YES: AcceptanceWord.ACCEPTED,
     Accepted.NO: AcceptanceWord.NOT_ACCEPTED,
@@ -65,13 +71,50 @@
 }
 
 
+@frozen(kw_only=True, slots=True)
+class AcceptedJob:
+    """A job that now stands in the store.
+
+    :param record: the value of its request.
+    :param revision: the store's revision that holds it.
+    :param fence: the ownership that was in force at that revision.
+    """
+
+    id: str
+    record: bytes
+    revision: int
+    fence: int
+
+
+@frozen(kw_only=True, slots=True)
+class Silence:
+    """No answer of another process."""
+
+    reason: str
+
+
+class OwnedWork(Protocol):
+    """What the owner's term answers, asked in its own process or by another."""
+
+    def pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue have not begun, or ``None`` when not known."""
+        ...
+
+    def phase(self, id: str) -> JobPhase | None:
+        """Return the phase of a job, or ``None`` when it is not known here."""
+        ...
+
+    def accepted(self, job: AcceptedJob) -> bool:
+        """Take on a job that was accepted under this ownership; return whether that is so."""
+        ...
+
+
 class PeerServer:
     """Answers other processes of the cell.
 
     :param jobs: serves the job calls of processes that can't reach the store.
     :param policy: asked on behalf of the owner.
-    :param count_pending: returns the jobs of a queue that wait, or ``None`` when this process
-        does not own the work.
+    :param term: this process's term of ownership, while there is one.
     :param store_reached: whether the store answers this process now.
     :param take_over: replaces the owner's key of the given revision by this process's own.
     """
@@ -82,19 +125,21 @@
         clock: Clock,
         jobs: JobCalls,
         policy: PolicyService | None,
-        count_pending: CountPending,
+        term: Callable[[], OwnedWork | None],
         store_reached: Callable[[], Awaitable[bool]],
         take_over: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._clock = clock
         self._jobs = jobs
         self._policy = policy
-        self._count_pending = count_pending
+        self._term = term
         self._store_reached = store_reached
         self._take_over = take_over
         handlers: dict[str, Callable[..., Awaitable[object]]] = {
             "ping": self._ping,
             "pending": self._pending,
+            "job_accepted": self._job_accepted,
+            "owned_phase": self._owned_phase,
             "ask_approval": self._ask_approval,
             "store_reach": self._reach,
             "take_over": self._take,
@@ -123,9 +168,22 @@
         return TakeOverReply(taken=await self._take_over(req.fence))
 
     async def _pending(self, req: PendingRequest) -> PendingReply:
-        count = self._count_pending(req.queue)
+        term = self._term()
+        count = term.pending(req.queue) if term is not None else None
         return PendingReply(owner=count is not None, pending=count or 0)
 
+    async def _job_accepted(self, req: JobNotice) -> JobNoticeReply:
+        term = self._term()
+        if term is None:
+            return JobNoticeReply(taken=False)
+        job = AcceptedJob(id=req.job, record=req.record, revision=req.revision, fence=req.fence)
+        return JobNoticeReply(taken=term.accepted(job))
+
+    async def _owned_phase(self, req: OwnedPhaseRequest) -> OwnedPhaseReply:
+        term = self._term()
+        phase = term.phase(req.job) if term is not None else None
+        return OwnedPhaseReply(phase=phase.value if phase is not None else None)
+
     async def _submit(self, req: RelayedSubmit) -> RelayedSubmitReply:
         deadline = self._clock.monotonic() + req.timeout_ms / 1000
         try:
@@ -189,6 +247,33 @@
             return None
         return reply.pending if reply.owner else None
 
+    async def job_accepted(self, member: Member, job: AcceptedJob) -> bool:
+        """Tell the owner of a job; return whether it has taken it on."""
+        req = JobNotice(job=job.id, record=job.record, revision=job.revision, fence=job.fence)
+        try:
+            reply = await self._pool.call(
+                member.address, "job_accepted", req, timeout_s=NOTICE_S, region=member.region
+            )
+        except RpcError:
+            return False
+        return reply.taken
+
+    async def owned_phase(
+        self, member: Member, id: str, *, timeout_s: float
+    ) -> JobPhase | Silence | None:
+        """Return the phase of a job as its owner knows it, ``None`` when it can't say."""
+        try:
+            reply = await self._pool.call(
+                member.address,
+                "owned_phase",
+                OwnedPhaseRequest(job=id),
+                timeout_s=timeout_s,
+                region=member.region,
+            )
+        except RpcError as exc:
+            return Silence(reason=str(exc))
+        return JobPhase(reply.phase) if reply.phase is not None else None
+
     async def ask_approval(
         self, member: Member, step: StepId, hosts: tuple[str, ...], *, timeout_s: float
     ) -> Approvals:
--- a/rhubarbferry/cell/settings.py
+++ b/rhubarbferry/cell/settings.py
@@ -12,11 +12,13 @@
     :param grace_s: between SIGTERM and SIGKILL.
     :param task_lease_s: longest lease that a host grants to what it runs.
     :param status_s: how long an ended job stays known.
+    :param history_s: how long the store keeps what has happened, for watches.
     """
 
     grace_s: float = 6.0
     task_lease_s: float = 6.0
     status_s: float = 120.0
+    history_s: float = 20.0
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -17,10 +17,12 @@
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.lease import TTL_S
 from rhubarbferry.cell.members import Member
+from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.cell.roster import Roster
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.hosts import CLOCK_DRIFT, LAPSE_MARGIN_S
+from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.messages import (
     Advice,
     AdviceOrder,
@@ -89,6 +91,24 @@
             return None
         return self.ctx.dispatcher.pending(queue)
 
+    def phase(self, id: str) -> JobPhase | None:
+        """Return the phase of a job, or ``None`` when it is not known here.
+
+        An end counts once it stands in the store: shown any earlier, a job could be complete
+        for its client and be run again by the next owner.
+        """
+        if not self.tenure.holds() or not self._inbox.loaded:
+            return None
+        dispatcher = self.ctx.dispatcher
+        job = dispatcher.jobs.get(id)
+        if job is None:
+            return dispatcher.ended.get(id)
+        return JobPhase.RUNNING if job.phase.final else job.phase
+
+    def accepted(self, job: AcceptedJob) -> bool:
+        """Take on a job that was accepted under this ownership; return whether that is so."""
+        return self._inbox.accepted(job)
+
     async def run(self) -> None:
         """Own the work; return when that has ended."""
         try:
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -60,7 +60,7 @@
     :param succession: what must be known before inherited jobs go on.
     :param lease_s: longest task lease that a host grants.
     :ivar dirty: jobs whose recorded state is behind, in the order of change.
-    :ivar ended: jobs whose end was recorded in this term.
+    :ivar ended: jobs whose end is on record, with the phase that they ended in.
     :ivar notes: outcomes since the last look, for the log.
     """
 
@@ -68,7 +68,7 @@
     lease_s: float
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
-    ended: set[str] = Factory(set)
+    ended: dict[str, JobPhase] = Factory(dict)
     notes: list[Outcome] = Factory(list)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
@@ -108,7 +108,7 @@
         if job.phase.final:
             self.jobs.pop(job.id, None)
             self._timed.pop(job.id, None)
-            self.ended.add(job.id)
+            self.ended[job.id] = job.phase
 
     def configure(self, queues: Mapping[str, Queue]) -> None:
         """Apply a configuration: what is not in it keeps its last form."""
--- a/rhubarbferry/platform/__main__.py
+++ b/rhubarbferry/platform/__main__.py
@@ -35,7 +35,11 @@
         log.emit("process.started", addresses=str(file.addresses))
         await Process(file=file, log=log, signals=signals).run()
 
-    asyncio.run(run())
+    try:
+        asyncio.run(run())
+    except OSError as exc:
+        log.emit("process.not_started", reason=f"{exc}; free the address or change it")
+        return 2
     return 0
 
 
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -19,6 +19,7 @@
 from rhubarbferry.cell.lease import LeaseKeeper
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member
+from rhubarbferry.cell.owner_link import OwnerLink
 from rhubarbferry.cell.peers import PeerClient, PeerServer
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.platform.client_api import ClientApi
@@ -43,8 +44,6 @@
 IDLE_S = 75
 # Between two looks at the settings file, which may change without a signal.
 SETTINGS_LOOK_S = 2.0
-# A count is asked of the owner at most this often for each queue; it may be 2 s old.
-PENDING_AGE_S = 0.4
 
 
 @define(kw_only=True, eq=False)
@@ -65,7 +64,6 @@
     clock: SystemClock = field(factory=SystemClock)
     view: CellView = field(factory=CellView)
     leaving: bool = False
-    _counts: dict[str, tuple[float, int]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.file.cell
@@ -83,6 +81,7 @@
             log=self.log,
             key=CONFIGURATION_KEY,
             decode=self._decode,
+            history_s=cfg.bounds.history_s,
         )
         self.workers = PlatformWorkers()
         self.policy = PlatformPolicy(address=addresses.policy) if addresses.policy else None
@@ -104,14 +103,25 @@
                 routes=lambda: self.feed.routes,
             )
         )
+        owner = OwnerLink(
+            clock=self.clock,
+            own=own,
+            view=self.view,
+            peers=self.peers,
+            term=lambda: self.candidate.term,
+        )
         acceptance = Acceptance(
-            clock=self.clock, store=self.store, log=self.log, reached=self.keeper.fresh
+            clock=self.clock,
+            store=self.store,
+            log=self.log,
+            owner=owner,
+            reached=self.keeper.fresh,
         )
         self.peer_server = PeerServer(
             clock=self.clock,
             jobs=acceptance,
             policy=self.policy,
-            count_pending=self._own_count,
+            term=lambda: self.candidate.term,
             store_reached=self.candidate.reaches_store,
             take_over=self.candidate.take_over,
         )
@@ -125,15 +135,22 @@
                 view=self.view,
                 peers=self.peers,
                 direct=acceptance,
+                owner=owner,
                 reached=self.keeper.fresh,
             ),
             routes=lambda: self.feed.routes,
-            count_pending=self._count_pending,
+            count_pending=owner.pending,
         )
 
     async def run(self) -> None:
-        """Serve until told to stop, then hand over and end within the grace time."""
-        await self.peer_server.start(self.file.addresses.peers)
+        """Serve until told to stop, then hand over and end within the grace time.
+
+        :raises OSError: when an address can't be listened on.
+        """
+        addresses = self.file.addresses
+        health_socket = listen(addresses.health)
+        client_socket = listen(addresses.clients)
+        await self.peer_server.start(addresses.peers)
         health = build_app(ready=self._not_ready)
         tasks = [
             asyncio.create_task(self.feed.run()),
@@ -141,15 +158,16 @@
             asyncio.create_task(self.candidate.run()),
             asyncio.create_task(self._follow_settings()),
         ]
-        servers = [
-            serve(health, address=self.file.addresses.health, idle_s=IDLE_S),
-            serve(self.api, address=self.file.addresses.clients, idle_s=IDLE_S),
-        ]
-        serving = [asyncio.create_task(server.serve()) for server in servers]
-        metrics = self._metrics_socket()
-        if metrics is not None:
-            servers.append(serve(health, address=self.file.addresses.metrics, idle_s=IDLE_S))
-            serving.append(asyncio.create_task(servers[-1].serve(sockets=[metrics])))
+        sockets = [(health, health_socket), (self.api, client_socket)]
+        metrics_socket = self._metrics_socket()
+        if metrics_socket is not None:
+            sockets.append((health, metrics_socket))
+        servers = []
+        serving = []
+        for app, sock in sockets:
+            server = serve(app, idle_s=IDLE_S)
+            servers.append(server)
+            serving.append(asyncio.create_task(server.serve(sockets=[sock])))
         stopping = asyncio.create_task(self.signals.stop.wait())
         await asyncio.wait([*tasks, *serving, stopping], return_when=asyncio.FIRST_COMPLETED)
         for task in tasks + serving:
@@ -219,7 +237,7 @@
             return "the process is stopping"
         if self.feed.routes is None:
             return "no configuration has been read yet"
-        silent_s = self.clock.monotonic() - self.feed.read_at
+        silent_s = self.clock.monotonic() - self.keeper.answered_at
         if silent_s > STORE_SILENCE_S:
             return f"the store has not answered for {silent_s:.1f} s"
         return ""
@@ -231,26 +249,6 @@
             logger.error("the configuration is not understood; the last one stays: {}", exc)
             return None
 
-    def _own_count(self, queue: str) -> int | None:
-        term = self.candidate.term
-        return term.pending(queue) if term is not None else None
-
-    async def _count_pending(self, queue: str) -> int | None:
-        count = self._own_count(queue)
-        if count is not None:
-            return count
-        now = self.clock.monotonic()
-        known = self._counts.get(queue)
-        if known is not None and now - known[0] < PENDING_AGE_S:
-            return known[1]
-        ownership = self.view.ownership
-        if ownership is None:
-            return None
-        count = await self.peers.pending(ownership.owner, queue)
-        if count is not None:
-            self._counts[queue] = (now, count)
-        return count
-
 
 def read_settings() -> ProcessFile:
     """Read the settings file that the environment names.
--- a/rhubarbferry/platform/serving.py
+++ b/rhubarbferry/platform/serving.py
@@ -28,7 +28,11 @@
 
 
 def listen(address: str) -> socket.socket:
-    """Return a socket bound to ``ip:port``.
+    """Return a socket that listens on ``ip:port``.
+
+    Two processes that start together may both bind the same address, as it may be used again
+    right after a crash; only to listen there is refused to the second. Were that left to the
+    server, the process would end instead of being told.
 
     :raises OSError: when that is not possible, as when another process has the port.
     """
@@ -37,23 +41,20 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((ip, int(port)))
+        sock.listen(BACKLOG)
     except OSError:
         sock.close()
         raise
     return sock
 
 
-def serve(app: Any, *, address: str, idle_s: int) -> HttpServer:
+def serve(app: Any, *, idle_s: int) -> HttpServer:
     """Return a server for an ASGI application.
 
-    :param address: ``ip:port`` to listen on.
     :param idle_s: how long a connection may be idle.
     """
-    ip, _, port = address.rpartition(":")
     config = uvicorn.Config(
         app,
-        host=ip,
-        port=int(port),
         loop="asyncio",
         http=HttpProtocol,
         ws="none",
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -75,6 +75,7 @@
         grace_s=float(reader.value("bounds.graceS", (int, float), 6)),
         task_lease_s=reader.seconds("bounds.holdMaxMs", 6000),
         status_s=float(reader.value("bounds.status_s", (int, float), 120)),
+        history_s=float(reader.value("platform.historyS", (int, float), 20)),
     )
     cell = CellSettings(
         member=reader.value("nodeName", str),
--- a/rhubarbferry/rpc/gen/Peer.py
+++ b/rhubarbferry/rpc/gen/Peer.py
@@ -77,6 +77,22 @@
         """
         pass
 
+    def job_accepted(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
+    def owned_phase(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
     def ask_approval(self, req):
         """
         Parameters:
@@ -317,6 +333,70 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "pending failed: unknown result")
 
+    def job_accepted(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_job_accepted(req)
+        return self.recv_job_accepted()
+
+    def send_job_accepted(self, req):
+        self._oprot.writeMessageBegin('job_accepted', TMessageType.CALL, self._seqid)
+        args = job_accepted_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_job_accepted(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = job_accepted_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "job_accepted failed: unknown result")
+
+    def owned_phase(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_owned_phase(req)
+        return self.recv_owned_phase()
+
+    def send_owned_phase(self, req):
+        self._oprot.writeMessageBegin('owned_phase', TMessageType.CALL, self._seqid)
+        args = owned_phase_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_owned_phase(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = owned_phase_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "owned_phase failed: unknown result")
+
     def ask_approval(self, req):
         """
         Parameters:
@@ -361,6 +441,8 @@
         self._processMap["phase"] = Processor.process_phase
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["pending"] = Processor.process_pending
+        self._processMap["job_accepted"] = Processor.process_job_accepted
+        self._processMap["owned_phase"] = Processor.process_owned_phase
         self._processMap["ask_approval"] = Processor.process_ask_approval
         self._on_message_begin = None
 
@@ -545,6 +627,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_job_accepted(self, seqid, iprot, oprot):
+        args = job_accepted_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = job_accepted_result()
+        try:
+            result.success = self._handler.job_accepted(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("job_accepted", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_owned_phase(self, seqid, iprot, oprot):
+        args = owned_phase_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = owned_phase_result()
+        try:
+            result.success = self._handler.owned_phase(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("owned_phase", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_ask_approval(self, seqid, iprot, oprot):
         args = ask_approval_args()
         args.read(iprot)
@@ -858,6 +986,88 @@
 )
 
 
+class job_accepted_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(job_accepted_args)
+job_accepted_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [JobNotice, None], None, ),  # 1
+)
+
+
+class job_accepted_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(job_accepted_result)
+job_accepted_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [JobNoticeReply, None], None, ),  # 0
+)
+
+
+class owned_phase_args(TBase):
+    """
+    Attributes:
+     - req
+
+    """
+
+    __slots__ = (
+        'req',
+    )
+
+
+    def __init__(self, req=None,):
+        self.req = req
+all_structs.append(owned_phase_args)
+owned_phase_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [OwnedPhaseRequest, None], None, ),  # 1
+)
+
+
+class owned_phase_result(TBase):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+all_structs.append(owned_phase_result)
+owned_phase_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [OwnedPhaseReply, None], None, ),  # 0
+)
+
+
 class ask_approval_args(TBase):
     """
     Attributes:
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -2135,6 +2135,79 @@
         self.known = known
 
 
+class JobNotice(TBase):
+    """
+    Attributes:
+     - job
+     - record
+     - revision
+     - fence
+
+    """
+
+    __slots__ = (
+        'job',
+        'record',
+        'revision',
+        'fence',
+    )
+
+
+    def __init__(self, job=None, record=None, revision=None, fence=None,):
+        self.job = job
+        self.record = record
+        self.revision = revision
+        self.fence = fence
+
+
+class JobNoticeReply(TBase):
+    """
+    Attributes:
+     - taken
+
+    """
+
+    __slots__ = (
+        'taken',
+    )
+
+
+    def __init__(self, taken=None,):
+        self.taken = taken
+
+
+class OwnedPhaseRequest(TBase):
+    """
+    Attributes:
+     - job
+
+    """
+
+    __slots__ = (
+        'job',
+    )
+
+
+    def __init__(self, job=None,):
+        self.job = job
+
+
+class OwnedPhaseReply(TBase):
+    """
+    Attributes:
+     - phase
+
+    """
+
+    __slots__ = (
+        'phase',
+    )
+
+
+    def __init__(self, phase=None,):
+        self.phase = phase
+
+
 class StoreReachRequest(TBase):
     """
     Attributes:
@@ -3083,6 +3156,29 @@
     (1, TType.BOOL, 'recorded', None, None, ),  # 1
     (2, TType.BOOL, 'known', None, None, ),  # 2
 )
+all_structs.append(JobNotice)
+JobNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'record', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.I64, 'fence', None, None, ),  # 4
+)
+all_structs.append(JobNoticeReply)
+JobNoticeReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
+)
+all_structs.append(OwnedPhaseRequest)
+OwnedPhaseRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+)
+all_structs.append(OwnedPhaseReply)
+OwnedPhaseReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'phase', 'UTF8', None, ),  # 1
+)
 all_structs.append(StoreReachRequest)
 StoreReachRequest.thrift_spec = (
     None,  # 0
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -550,6 +550,16 @@
 }
 struct RelayedCancel { 1: required string job, 2: required i32 timeout_ms }
 struct RelayedCancelReply { 1: required bool recorded, 2: required bool known }
+/* A job that now stands in the store, told to the owner of the work at once. */
+struct JobNotice {
+  1: required string job,
+  2: required binary record,
+  3: required i64 revision, /* of the store, that holds the job */
+  4: required i64 fence, /* the ownership in force at that revision */
+}
+struct JobNoticeReply { 1: required bool taken }
+struct OwnedPhaseRequest { 1: required string job }
+struct OwnedPhaseReply { 1: optional string phase /* absent when the process can't say */ }
 /* An owner that the store has stopped answering looks for one that it answers. */
 struct StoreReachRequest { 1: optional string sender }
 struct StoreReachReply { 1: required bool reached }
@@ -563,6 +573,8 @@
   RelayedPhaseReply phase(1: RelayedPhase req),
   RelayedCancelReply cancel(1: RelayedCancel req),
   PendingReply pending(1: PendingRequest req),
+  JobNoticeReply job_accepted(1: JobNotice req),
+  OwnedPhaseReply owned_phase(1: OwnedPhaseRequest req),
   ApprovalReply ask_approval(1: ApprovalRequest req),
 }
 
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -33,12 +33,14 @@
     :param lose_every: of so many writes one is carried out and not answered; 0 for none.
     :param late_s: such a write is carried out only after this time.
     :param no_history: watches are told that their history is gone.
+    :param deaf: watches hear of no change, and are answered with the present revision.
     """
 
     down: bool = False
     lose_every: int = 0
     late_s: float = 0.0
     no_history: bool = False
+    deaf: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -127,6 +129,8 @@
                 return Response(status_code=410)
             if self.trouble.no_history:
                 return Response(status_code=410)
+            if self.trouble.deaf:
+                events = []
             if events or self.clock.monotonic() >= end:
                 return JSONResponse(
                     {"events": [_event(event) for event in events], "at": self.engine.revision}
--- /dev/null
+++ b/tests/cell/parts.py
@@ -0,0 +1,40 @@
+"""Small pieces that tests of single parts of a cell share."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+from rhubarbferry.cell.members import Member
+from rhubarbferry.dispatch.messages import JobRequest, Queue, Sizes, StepRequest
+from rhubarbferry.dispatch.record import JobRecord
+
+QUEUE = Queue(name="queue", service="pool")
+
+
+@define
+class Lines:
+    """Takes log lines in place of standard output."""
+
+    found: list[tuple[str, dict]] = Factory(list)
+
+    def emit(self, event: str, **fields) -> None:
+        self.found.append((event, fields))
+
+    def outcomes(self, event: str) -> list:
+        return [fields.get("outcome") for name, fields in self.found if name == event]
+
+
+def member(name: str, *, address: str = "", store_s: float = 0.0) -> Member:
+    return Member(
+        name=name,
+        address=address or f"{name}:1",
+        region="region",
+        failure_domain="domain",
+        store_s=store_s,
+    )
+
+
+def record(id: str) -> JobRecord:
+    step = StepRequest(count=1, sizes=Sizes(millicores=1000, memory_mb=100), estimate_s=1.0)
+    req = JobRequest(id=id, queue=QUEUE.name, payload="work", steps=(step,))
+    return JobRecord(req=req, queue=QUEUE)
--- a/tests/cell/stage.py
+++ b/tests/cell/stage.py
@@ -63,11 +63,14 @@
     return {"version": version, "routes": routes, "services": services, "limits": {}}
 
 
-def free_port() -> int:
-    sock = bind()
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return ports that are free on an address, no two the same."""
+    # All are held until the last is known: one that is given back at once may be handed out again.
+    socks = [bind(ip=ip) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
 
 
 @define
@@ -129,9 +132,9 @@
         return worker
 
     async def start(self, name: str) -> Member:
-        ports = [free_port() for _ in range(3)]
         # Each process has an address of its own, since one of its ports is the same on all.
         ip = self.addresses.setdefault(name, f"127.0.0.{2 + len(self.addresses)}")
+        ports = free_ports(ip, 3)
         text = SETTINGS.format(
             name=name,
             ip=ip,
@@ -166,6 +169,7 @@
     async def ready(self, member: Member) -> None:
         async with asyncio.timeout(STARTED_S):
             while True:
+                assert member.child.returncode is None, member.output.read_text()
                 try:
                     async with self.session.get(f"http://{member.health}/api/readyz") as resp:
                         if resp.status == 200:
@@ -199,6 +203,14 @@
             found = await self.state(member, id)
         assert found == state
 
+    async def owned(self) -> None:
+        """Wait until some process owns the work; a process may be ready before."""
+        for _ in range(int(STARTED_S / 0.05)):
+            if self.store.engine.get("cell/control/owner") is not None:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody owns the work")
+
     def owner(self) -> Member:
         stored = self.store.engine.get("cell/control/owner")
         assert stored is not None
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -27,6 +27,7 @@
             await stage.start(name)
         for member in stage.members.values():
             await stage.ready(member)
+        await stage.owned()
         yield stage
 
 
