--- /dev/null
+++ b/rhubarbferry/bench/day_work.py
@@ -0,0 +1,290 @@
+"""Generated days of jobs: what comes in, and what goes wrong meanwhile.
+
+The figures are those of the two groups of users: short urgent jobs, wide jobs of long tasks that
+work only together, and batches between the two. Sizes are drawn log-normally, as most tasks are
+small and a few are large.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+
+from attrs import evolve, frozen
+
+from rhubarbferry.dispatch.messages import AdviceCost, JobRequest, Queue, Sizes, StepRequest
+
+
+@frozen(kw_only=True, slots=True)
+class Draw:
+    """A log-normal figure.
+
+    :param mean: its mean.
+    :param spread: standard deviation of its logarithm.
+    :param most: upper bound.
+    """
+
+    mean: float
+    spread: float
+    most: float
+
+    def __call__(self, rng: random.Random) -> float:
+        """Return one figure."""
+        mu = math.log(self.mean) - self.spread**2 / 2
+        return min(self.most, rng.lognormvariate(mu, self.spread))
+
+
+@frozen(kw_only=True, slots=True)
+class Work:
+    """One kind of job.
+
+    :param per_s: jobs a second.
+    :param worth: of a job of mean size that ends in time.
+    :param late_worth: of one that ends later, up to three times its objective.
+    :param steps: steps of a job, one after the other.
+    :param width: tasks of a step.
+    :param run_s: of a task on a host of speed 1.
+    :param estimate_spread: how far off the declared duration is, as ``Draw.spread``.
+    :param gang: share of the jobs whose tasks work only together.
+    :param saves: share of the jobs whose tasks can resume from a saved point.
+    :param fails: share of the runs that fail by their own fault.
+    :param approved: share of the hosts that the policy lets run a step.
+    """
+
+    queue: Queue
+    per_s: float
+    worth: float
+    late_worth: float
+    steps: Draw
+    width: Draw
+    run_s: Draw
+    cores: Draw
+    memory_mb: Draw
+    estimate_spread: float
+    gang: float
+    saves: float
+    fails: float
+    approved: float
+
+
+@frozen(kw_only=True, slots=True)
+class Burst:
+    """Jobs of one queue come ``times`` as often for a while; of all queues where it is empty."""
+
+    at_s: float
+    for_s: float
+    times: float
+    queue: str = ""
+
+
+@frozen(kw_only=True, slots=True)
+class HostsLost:
+    """A share of the hosts dies at once and comes back empty after a while."""
+
+    at_s: float
+    for_s: float
+    share: float
+
+
+@frozen(kw_only=True, slots=True)
+class Pause:
+    """Nobody decides for a while, as when the owner of the work is being replaced."""
+
+    at_s: float
+    for_s: float
+
+
+@frozen(kw_only=True, slots=True)
+class Day:
+    """A day to play.
+
+    :param seconds: how long jobs come in.
+    :param speeds: hosts work at one of these, in turn.
+    """
+
+    seconds: float
+    hosts: int
+    host_cores: int
+    host_memory_mb: int
+    works: tuple[Work, ...]
+    speeds: tuple[float, ...] = (0.8, 1.0, 1.25)
+    members: int = 8
+    bursts: tuple[Burst, ...] = ()
+    losses: tuple[HostsLost, ...] = ()
+    pauses: tuple[Pause, ...] = ()
+
+
+@frozen(kw_only=True, slots=True)
+class Arrival:
+    """A job that comes in, with what only the model knows of it.
+
+    :param run_s: true duration of a task of each step on a host of speed 1.
+    """
+
+    at_s: float
+    work: Work
+    req: JobRequest
+    run_s: tuple[float, ...]
+
+    @property
+    def objective_s(self) -> float:
+        """By when its client wants it to be done, from its arrival."""
+        return self.work.queue.slack_factor * sum(self.run_s) + self.work.queue.objective_s
+
+    @property
+    def core_s(self) -> float:
+        """Its work."""
+        return sum(
+            step.count * step.sizes.millicores / 1000 * run_s
+            for step, run_s in zip(self.req.steps, self.run_s, strict=True)
+        )
+
+
+def arrivals(day: Day, rng: random.Random) -> Iterator[Arrival]:
+    """Yield the jobs of a day, not in order."""
+    for work in day.works:
+        now = 0.0
+        while True:
+            rate = work.per_s * math.prod(
+                burst.times
+                for burst in day.bursts
+                if burst.queue in ("", work.queue.name)
+                and burst.at_s <= now < burst.at_s + burst.for_s
+            )
+            now += rng.expovariate(rate)
+            if now >= day.seconds:
+                break
+            yield _arrival(work, now, rng)
+
+
+def _arrival(work: Work, now: float, rng: random.Random) -> Arrival:
+    gang = rng.random() < work.gang
+    saves = rng.random() < work.saves
+    steps = []
+    durations = []
+    for index in range(max(1, round(work.steps(rng)))):
+        run_s = work.run_s(rng)
+        durations.append(run_s)
+        steps.append(
+            StepRequest(
+                count=max(1, round(work.width(rng))),
+                sizes=Sizes(
+                    millicores=max(100, round(work.cores(rng) * 1000)),
+                    memory_mb=round(work.memory_mb(rng)),
+                ),
+                estimate_s=run_s * rng.lognormvariate(0.0, work.estimate_spread),
+                after=(index - 1,) if index else (),
+                gang=gang,
+                checkpointable=saves,
+            )
+        )
+    req = JobRequest(
+        id=f"{rng.getrandbits(64):016x}",
+        queue=work.queue.name,
+        payload="",
+        steps=tuple(steps),
+    )
+    return Arrival(at_s=now, work=work, req=req, run_s=tuple(durations))
+
+
+_VALID_S = 1.5
+
+WIDE = Work(
+    queue=Queue(
+        name="wide",
+        service="pool",
+        priority=1,
+        attempts=3,
+        slack_factor=2.2,
+        objective_s=1.2,
+        advice=AdviceCost(decision_s=0.65, per_host_s=0.0092, valid_s=_VALID_S),
+    ),
+    per_s=0.577,
+    worth=13.1,
+    late_worth=2.62,
+    steps=Draw(mean=1.2, spread=0.4, most=3),
+    width=Draw(mean=8, spread=0.8, most=48),
+    run_s=Draw(mean=6.2, spread=0.5, most=16),
+    cores=Draw(mean=18, spread=0.4, most=30),
+    memory_mb=Draw(mean=26_000, spread=0.5, most=52_000),
+    estimate_spread=0.5,
+    gang=1.0,
+    saves=0.5,
+    fails=0.02,
+    approved=0.25,
+)
+BATCH = Work(
+    queue=Queue(
+        name="batch",
+        service="pool",
+        priority=2,
+        attempts=3,
+        slack_factor=4.0,
+        objective_s=3.0,
+        advice=AdviceCost(decision_s=0.083, per_host_s=0.0012, valid_s=_VALID_S),
+    ),
+    per_s=2.18,
+    worth=2.18,
+    late_worth=0.436,
+    steps=Draw(mean=1.5, spread=0.4, most=3.8),
+    width=Draw(mean=10, spread=0.8, most=60),
+    run_s=Draw(mean=3.4, spread=0.5, most=8.4),
+    cores=Draw(mean=3.9, spread=0.45, most=12),
+    memory_mb=Draw(mean=5_600, spread=0.6, most=17_000),
+    estimate_spread=0.9,
+    gang=0.0,
+    saves=0.8,
+    fails=0.02,
+    approved=0.45,
+)
+SHORT = Work(
+    queue=Queue(
+        name="short",
+        service="pool",
+        priority=0,
+        attempts=4,
+        slack_factor=1.5,
+        objective_s=0.5,
+        advice=AdviceCost(decision_s=0.012, per_host_s=0.00017, valid_s=_VALID_S),
+    ),
+    per_s=15.4,
+    worth=0.432,
+    late_worth=0.0864,
+    steps=Draw(mean=1, spread=0.0, most=2.5),
+    width=Draw(mean=2, spread=0.8, most=12),
+    run_s=Draw(mean=1.0, spread=0.5, most=2.5),
+    cores=Draw(mean=5.6, spread=0.45, most=17),
+    memory_mb=Draw(mean=8_000, spread=0.6, most=24_000),
+    estimate_spread=0.2,
+    gang=0.3,
+    saves=0.0,
+    fails=0.05,
+    approved=0.7,
+)
+
+CALM = Day(
+    seconds=60.0,
+    hosts=24,
+    host_cores=64,
+    host_memory_mb=131_072,
+    works=(WIDE, BATCH, SHORT),
+)
+DAYS: dict[str, Day] = {
+    "calm": CALM,
+    "bursts": evolve(
+        CALM,
+        bursts=(
+            Burst(at_s=10, for_s=4, times=2.1, queue="short"),
+            Burst(at_s=25, for_s=4, times=1.7, queue="wide"),
+            Burst(at_s=40, for_s=8, times=1.6),
+        ),
+    ),
+    "hosts lost": evolve(
+        CALM,
+        losses=(HostsLost(at_s=15, for_s=8, share=0.3),),
+        bursts=(Burst(at_s=15, for_s=8, times=1.3),),
+    ),
+    "takeovers": evolve(CALM, pauses=(Pause(at_s=10, for_s=3), Pause(at_s=35, for_s=6))),
+    "overload": evolve(CALM, bursts=(Burst(at_s=0, for_s=60, times=1.6),)),
+}
--- /dev/null
+++ b/rhubarbferry/bench/days.py
@@ -0,0 +1,409 @@
+"""Experiment ``days``: the dispatcher on generated days of jobs.
+
+Hosts, the policy service and clients are played in generated time, so that a day takes a second
+or two and the same seed gives the same figures. What is judged is what users see: which share of
+the worth of all jobs was earned, over the day and over the two worst windows of two seconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from attrs import Factory, define, evolve, field
+
+from rhubarbferry.bench.day_work import DAYS, Arrival, Day, arrivals
+from rhubarbferry.cell.advice_desk import AdviceDesk
+from rhubarbferry.cell.members import Member
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.job import Job, JobPhase
+from rhubarbferry.dispatch.messages import (
+    Advice,
+    AdviceOrder,
+    Approval,
+    EndedTask,
+    EndKind,
+    HostEntry,
+    HostReport,
+    RunningTask,
+    Sizes,
+    Started,
+    StartOrder,
+    StepId,
+    StopOrder,
+    TaskId,
+)
+from rhubarbferry.dispatch.succession import Succession
+
+# One way to a host or to the policy service, and the time until an end is on record.
+WAY_S = 0.02
+RECORD_S = 0.04
+# Between two decisions for what depends on time alone, and two looks at a host at least.
+TICK_S = 0.1
+LOOK_S = 0.7
+LEASE_S = 6.0
+STOP_S = 0.5
+RESTORE_S = 0.1
+# The hosts that may run a step hold it this many times over when they are empty.
+ROOM_FOR_STEP = 1.3
+WINDOW_S = 2.0
+WORST_WINDOWS = 2
+# Jobs go on for this long after the last has come in.
+REST_S = 40.0
+LATE_FACTOR = 3
+# A job's worth grows with its work: this part is fixed, the rest goes by the mean of its kind.
+FIXED_SHARE = 0.3
+MOST_TIMES_WORTH = 4.0
+
+Run = tuple[TaskId, int]
+
+
+@define(kw_only=True, eq=False)
+class _Host:
+    """A host of the model."""
+
+    entry: HostEntry
+    speed: float
+    running: dict[Run, float] = Factory(dict)
+    begun: dict[Run, float] = Factory(dict)
+    ended: list[EndedTask] = Factory(list)
+    count: int = 0
+    dead: bool = False
+
+    def report(self, now: float) -> HostReport:
+        return HostReport(
+            clock_s=now,
+            incarnation=self.entry.incarnation,
+            running=tuple(
+                RunningTask(task=task, attempt=attempt, percent=self._percent((task, attempt), now))
+                for task, attempt in self.running
+            ),
+            ended=tuple(self.ended),
+        )
+
+    def _percent(self, run: Run, now: float) -> float:
+        length = max(1e-9, self.running[run] - self.begun[run])
+        return min(100.0, 100 * (now - self.begun[run]) / length)
+
+
+@define(kw_only=True, eq=False)
+class Cell:
+    """One day as it is played."""
+
+    day: Day
+    seed: str
+    now: float = 0.0
+    done_at: dict[str, float] = Factory(dict)
+    useful_core_s: float = 0.0
+    wasted_core_s: float = 0.0
+    _arrivals: dict[str, Arrival] = Factory(dict)
+    _hosts: dict[str, _Host] = Factory(dict)
+    _events: list[tuple[float, int, Callable[[], None]]] = Factory(list)
+    _numbers: itertools.count[int] = Factory(itertools.count)
+    _tries: dict[TaskId, int] = Factory(dict)
+    _approved: dict[StepId, frozenset[str]] = Factory(dict)
+    _dispatcher: Dispatcher = field(init=False)
+    _desk: AdviceDesk = field(init=False)
+    _members: list[Member] = field(init=False)
+
+    def play(self) -> None:
+        """Play the day and its rest."""
+        self._set_up()
+        end = self.day.seconds + REST_S
+        while self._events and self._events[0][0] <= end:
+            self.now = self._events[0][0]
+            while self._events and self._events[0][0] <= self.now:
+                heapq.heappop(self._events)[2]()
+            self._decide()
+
+    def _set_up(self) -> None:
+        self._dispatcher = Dispatcher(succession=Succession(lapsed_at=0.0), lease_s=LEASE_S)
+        self._desk = AdviceDesk(own="0", region="region")
+        self._members = [
+            Member(name=str(index), address="", region="region", failure_domain="")
+            for index in range(self.day.members)
+        ]
+        for index in range(self.day.hosts):
+            self._add_host(index)
+        for arrival in arrivals(self.day, self._rng("arrivals")):
+            self._arrivals[arrival.req.id] = arrival
+            self._at(arrival.at_s, partial(self._arrive, arrival))
+        for loss in self.day.losses:
+            count = round(loss.share * len(self._hosts))
+            lost = self._rng(f"lost {loss.at_s}").sample(sorted(self._hosts), count)
+            for id in lost:
+                self._at(loss.at_s, partial(self._kill, id))
+                self._at(loss.at_s + loss.for_s, partial(self._revive, id))
+        self._tick()
+
+    def _add_host(self, index: int) -> None:
+        entry = HostEntry(
+            id=f"h{index:03}",
+            incarnation=1,
+            service="pool",
+            address="",
+            capacity=Sizes(
+                millicores=self.day.host_cores * 1000, memory_mb=self.day.host_memory_mb
+            ),
+        )
+        speeds = self.day.speeds
+        self._hosts[entry.id] = _Host(entry=entry, speed=speeds[index % len(speeds)])
+        self._dispatcher.host_listed(entry, now=0.0)
+        self._look(entry.id)
+
+    def _rng(self, what: str) -> random.Random:
+        """Return the chance of one thing, the same whatever else is decided otherwise."""
+        return random.Random(f"{self.seed} {what}")
+
+    def _at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._numbers), act))
+
+    def _tick(self) -> None:
+        self._dispatcher.retry()
+        self._at(self.now + TICK_S, self._tick)
+
+    # ------------------------------------------------------------ hosts
+
+    def _look(self, id: str) -> None:
+        self._heard(id)
+        self._at(self.now + LOOK_S, lambda: self._look(id))
+
+    def _heard(self, id: str) -> None:
+        host = self._hosts[id]
+        state = self._dispatcher.tracker.hosts.get(id)
+        if host.dead or state is None:
+            return
+        state.hold(self.now, LEASE_S)
+        self._dispatcher.reported(id, host.report(self.now), sent_at=self.now, now=self.now)
+
+    def _kill(self, id: str) -> None:
+        host = self._hosts[id]
+        host.dead = True
+        for run in list(host.running):
+            self._waste(host, run)
+        host.running.clear()
+        self._dispatcher.host_unlisted(id)
+
+    def _revive(self, id: str) -> None:
+        host = self._hosts[id]
+        host.dead = False
+        host.ended.clear()
+        host.count = 0
+        entry = host.entry
+        host.entry = HostEntry(
+            id=id,
+            incarnation=entry.incarnation + 1,
+            service=entry.service,
+            address="",
+            capacity=entry.capacity,
+        )
+        self._dispatcher.host_listed(host.entry, now=self.now)
+        self._heard(id)
+
+    def _start(self, order: StartOrder) -> None:
+        host = self._hosts[order.host]
+        if host.dead:
+            return
+        arrival = self._arrivals[order.task.job]
+        run = (order.task, order.attempt)
+        whole = arrival.run_s[order.task.step] / self._speed(order)
+        saved = float(order.checkpoint or 0.0)
+        length = whole * (1 - saved) + (RESTORE_S if saved else 0.0)
+        tries = self._tries[order.task] = self._tries.get(order.task, 0) + 1
+        rng = self._rng(f"{order.task} {tries}")
+        fails = rng.random() < arrival.work.fails
+        if fails:
+            length *= rng.random()
+        host.begun[run] = self.now
+        host.running[run] = self.now + length
+        how = EndKind.FAILED if fails else EndKind.DONE
+        self._at(self.now + length, lambda: self._end(host, run, how))
+        self._at(
+            self.now + WAY_S,
+            lambda: self._dispatcher.start_answered(
+                host.entry.id, order.task, order.attempt, Started(clock_s=self.now), now=self.now
+            ),
+        )
+
+    def _speed(self, order: StartOrder) -> float:
+        """Return the speed of a run: a gang works at that of its slowest host."""
+        job = self._dispatcher.jobs.get(order.task.job)
+        task = job.task(order.task) if job is not None else None
+        if task is None or not task.step.req.gang:
+            return self._hosts[order.host].speed
+        step = task.step
+        hosts = [task.run.host for task in step.tasks if task.run is not None]
+        return min(self._hosts[id].speed for id in hosts)
+
+    def _end(self, host: _Host, run: Run, how: EndKind, checkpoint: str = "") -> None:
+        if run not in host.running:
+            return
+        if how is EndKind.DONE:
+            spent = self._core_s(run) * (self.now - host.begun[run])
+            self.useful_core_s += spent
+        elif not checkpoint:
+            self._waste(host, run)
+        del host.running[run]
+        host.count += 1
+        host.ended.append(
+            EndedTask(
+                number=host.count, task=run[0], attempt=run[1], how=how, checkpoint=checkpoint
+            )
+        )
+        self._at(self.now + WAY_S, lambda: self._heard(host.entry.id))
+
+    def _core_s(self, run: Run) -> float:
+        step = self._arrivals[run[0].job].req.steps[run[0].step]
+        return step.sizes.millicores / 1000
+
+    def _waste(self, host: _Host, run: Run) -> None:
+        self.wasted_core_s += self._core_s(run) * (self.now - host.begun[run])
+
+    def _stop(self, order: StopOrder) -> None:
+        host = self._hosts[order.host]
+        run = (order.task, order.attempt)
+        if run not in host.running:
+            return
+        arrival = self._arrivals[order.task.job]
+        checkpoint = ""
+        if arrival.req.steps[order.task.step].checkpointable:
+            whole = arrival.run_s[order.task.step] / host.speed
+            checkpoint = f"{min(0.99, (self.now - host.begun[run]) / whole):.6f}"
+        self._at(self.now + STOP_S, lambda: self._end(host, run, EndKind.STOPPED, checkpoint))
+
+    # ------------------------------------------------------------ jobs and decisions
+
+    def _arrive(self, arrival: Arrival) -> None:
+        job = Job(
+            req=arrival.req,
+            queue=arrival.work.queue,
+            arrived_at=self.now,
+            created_revision=1,
+            record_revision=1,
+        )
+        self._dispatcher.add_job(job, now=self.now, wall_s=self.now)
+
+    def _decide(self) -> None:
+        if any(pause.at_s <= self.now < pause.at_s + pause.for_s for pause in self.day.pauses):
+            return
+        for order in self._dispatcher.decide(now=self.now, wall_s=self.now):
+            self._carry_out(order)
+        for assignment in self._desk.assign(self._members):
+            self._ask(assignment.order, assignment.member.name)
+        for job in list(self._dispatcher.dirty.values()):
+            if job.phase.final:
+                self._at(self.now + RECORD_S, partial(self._recorded, job))
+        self._dispatcher.dirty.clear()
+        self._dispatcher.notes.clear()
+
+    def _carry_out(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
+        match order:
+            case StartOrder():
+                self._at(self.now + WAY_S, lambda: self._start(order))
+            case StopOrder():
+                self._at(self.now + WAY_S, lambda: self._stop(order))
+            case AdviceOrder():
+                job = self._dispatcher.jobs.get(order.step.job)
+                self._desk.add(order, priority=job.queue.priority if job is not None else 0)
+
+    def _ask(self, order: AdviceOrder, member: str) -> None:
+        took_s = order.cost.duration_s(len(order.hosts)) + WAY_S
+        self._at(self.now + took_s, lambda: self._answer(order, member))
+
+    def _answer(self, order: AdviceOrder, member: str) -> None:
+        self._desk.done(member)
+        approved = self._approved.get(order.step)
+        if approved is None:
+            approved = self._approved[order.step] = self._draw_approved(order.step)
+        approvals = tuple(
+            Approval(host=id, ticket="ticket") for id in order.hosts if id in approved
+        )
+        advice = Advice(
+            step=order.step,
+            asked=order.hosts,
+            approvals=approvals,
+            answered_at=self.now,
+            valid_s=order.cost.valid_s,
+        )
+        self._dispatcher.advised(advice, now=self.now)
+
+    def _draw_approved(self, id: StepId) -> frozenset[str]:
+        """Choose the hosts that may run a step: a share of all, and room for all of its tasks."""
+        arrival = self._arrivals[id.job]
+        req = arrival.req.steps[id.step]
+        hosts = self._rng(f"approved {id}").sample(sorted(self._hosts), len(self._hosts))
+        count = max(1, round(arrival.work.approved * len(hosts)))
+        slots = min(
+            self.day.host_cores * 1000 // max(1, req.sizes.millicores),
+            self.day.host_memory_mb // max(1, req.sizes.memory_mb),
+        )
+        count = max(count, math.ceil(ROOM_FOR_STEP * req.count / max(1, slots)))
+        return frozenset(hosts[:count])
+
+    def _recorded(self, job: Job) -> None:
+        if job.id not in self.done_at and job.phase is JobPhase.COMPLETE:
+            self.done_at[job.id] = self.now
+        self._dispatcher.recorded(job)
+
+    # ------------------------------------------------------------ figures
+
+    def figures(self) -> dict[str, Any]:
+        """Return what users got."""
+        means = self._mean_work()
+        kinds: dict[str, dict[str, Any]] = {}
+        windows: dict[int, list[float]] = {}
+        for arrival in self._arrivals.values():
+            name = arrival.work.queue.name
+            row = kinds.setdefault(name, {"jobs": 0, "in_time": 0, "late": 0, "missed": 0})
+            window = windows.setdefault(int(arrival.at_s / WINDOW_S), [0.0, 0.0])
+            times = min(
+                MOST_TIMES_WORTH, FIXED_SHARE + (1 - FIXED_SHARE) * arrival.core_s / means[name]
+            )
+            verdict = self._verdict(arrival)
+            row["jobs"] += 1
+            row[verdict] += 1
+            earned = {"in_time": arrival.work.worth, "late": arrival.work.late_worth}
+            window[0] += times * earned.get(verdict, 0.0)
+            window[1] += times * arrival.work.worth
+        shares = sorted(earned / owed for earned, owed in windows.values())
+        whole = sum(pair[0] for pair in windows.values()) / sum(p[1] for p in windows.values())
+        return {
+            "worth_share": round(whole, 4),
+            "worst_windows": round(sum(shares[:WORST_WINDOWS]) / WORST_WINDOWS, 4),
+            "useful_core_s": round(self.useful_core_s),
+            "wasted_core_s": round(self.wasted_core_s),
+            "kinds": kinds,
+        }
+
+    def _mean_work(self) -> dict[str, float]:
+        sums: dict[str, list[float]] = {}
+        for arrival in self._arrivals.values():
+            sums.setdefault(arrival.work.queue.name, []).append(arrival.core_s)
+        return {name: sum(found) / len(found) for name, found in sums.items()}
+
+    def _verdict(self, arrival: Arrival) -> str:
+        done_at = self.done_at.get(arrival.req.id)
+        if done_at is None:
+            return "missed"
+        took_s = done_at - arrival.at_s
+        if took_s <= arrival.objective_s:
+            return "in_time"
+        return "late" if took_s <= LATE_FACTOR * arrival.objective_s else "missed"
+
+
+def experiment(*, seed: int, seconds: float) -> dict[str, Any]:
+    """Play each of the days.
+
+    :param seconds: how long jobs come in.
+    """
+    report: dict[str, Any] = {}
+    for name, day in DAYS.items():
+        cell = Cell(day=evolve(day, seconds=seconds), seed=f"{seed} {name}")
+        cell.play()
+        report[name] = cell.figures()
+    return report
--- a/rhubarbferry/bench/plots.py
+++ b/rhubarbferry/bench/plots.py
@@ -17,7 +17,7 @@
     """
     from matplotlib.figure import Figure
 
-    panels = [name for name in ("requests", "placement", "shares") if name in report]
+    panels = [name for name in DRAWERS if name in report]
     figure = Figure(figsize=(6.0 * len(panels), 4.2), layout="constrained")
     for name, axes in zip(panels, figure.subplots(1, len(panels), squeeze=False)[0], strict=True):
         DRAWERS[name](report[name], axes)
@@ -65,4 +65,16 @@
     axes.legend(fontsize=7)
 
 
-DRAWERS = {"requests": _requests, "placement": _placement, "shares": _shares}
+def _days(part: dict[str, Any], axes: Any) -> None:
+    names = [name for name in part if isinstance(part[name], dict)]
+    for index, figure in enumerate(("worth_share", "worst_windows")):
+        values = [part[name][figure] for name in names]
+        places = [at + 0.35 * (index - 0.5) for at in range(len(names))]
+        axes.bar(places, values, width=0.33, label=figure.replace("_", " "))
+    axes.set_xticks(range(len(names)), names, fontsize=8)
+    axes.set(ylabel="share of the worth of all jobs", ylim=(0.0, 1.02))
+    axes.set_title("Days of jobs")
+    axes.legend(fontsize=7, loc="lower right")
+
+
+DRAWERS = {"requests": _requests, "placement": _placement, "shares": _shares, "days": _days}
--- a/rhubarbferry/bench/run.py
+++ b/rhubarbferry/bench/run.py
@@ -9,10 +9,10 @@
 
 from attrs import asdict, frozen
 
-from rhubarbferry.bench import placement, requests, shares
+from rhubarbferry.bench import days, placement, requests, shares
 from rhubarbferry.bench.profiles import PROFILES
 
-EXPERIMENTS = ("requests", "placement", "shares")
+EXPERIMENTS = ("requests", "placement", "shares", "days")
 WALL = "wall_"
 
 
@@ -22,6 +22,7 @@
 
     :param request_seconds: of generated time for each load.
     :param share_seconds: of generated time for the runs that tell shares.
+    :param day_seconds: of generated time for which jobs come in on each day.
     :param steps: batches of the placement experiment.
     """
 
@@ -29,6 +30,7 @@
     seed: int = 1
     request_seconds: float = 60.0
     share_seconds: float = 600.0
+    day_seconds: float = 60.0
     steps: int = 1000
 
 
@@ -55,6 +57,8 @@
                 )
             case "placement":
                 report[name] = placement.experiment(profile, seed=plan.seed, steps=plan.steps)
+            case "days":
+                report[name] = days.experiment(seed=plan.seed, seconds=plan.day_seconds)
             case _:
                 report[name] = shares.experiment(
                     profile, seed=plan.seed, seconds=plan.share_seconds
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -12,6 +12,7 @@
 from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.dispatch.job import Job, JobPhase
 from rhubarbferry.dispatch.record import (
+    JobRecord,
     RecordError,
     decode_phase,
     decode_request,
@@ -35,6 +36,8 @@
 # spare the watch is asked again at once, as it shows a job up to 40 ms before its notice.
 GATHER_S = 0.2
 RETRY_S = 0.1
+# An age above this is the mark of a clock that is wrong, or of a record without a time.
+OLDEST_S = 300.0
 
 
 @define(kw_only=True, eq=False)
@@ -199,7 +202,7 @@
         job = Job(
             req=record.req,
             queue=queue or record.queue,
-            arrived_at=self.ctx.now(),
+            arrived_at=self.ctx.now() - (self._age_s(record) if inherited else 0.0),
             created_revision=kv.mod_revision,
             record_revision=state.mod_revision,
             inherited=inherited,
@@ -210,6 +213,15 @@
         restore_state(job, state.value, now=self.ctx.now())
         return job
 
+    def _age_s(self, record: JobRecord) -> float:
+        """Return how long ago an inherited job was accepted, about.
+
+        Taken for new, a job that has waited through a takeover would go before those that can
+        still be done in time. A clock that is off only changes the order a little.
+        """
+        age_s = self.ctx.around.clock.wall() - record.accepted_at_s
+        return age_s if 0.0 < age_s < OLDEST_S else 0.0
+
     def _cancel(self, kv: KeyValue) -> None:
         id = kv.key.removeprefix(keys.CANCELS)
         if id in self.ctx.dispatcher.jobs:
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -67,12 +67,14 @@
     _tasks: asyncio.TaskGroup = field(init=False)
     _watched: set[str] = field(factory=set)
     _reviewed_at: float = 0.0
+    _took_over_at: float = field(init=False)
+    _settled: bool = False
 
     def __attrs_post_init__(self) -> None:
-        took_over_at = self.around.clock.monotonic()
+        self._took_over_at = self.around.clock.monotonic()
         lease_s = self.around.cfg.bounds.task_lease_s
         succession = Succession(
-            lapsed_at=took_over_at + TTL_S + lease_s * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+            lapsed_at=self._took_over_at + TTL_S + lease_s * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
         )
         self.ctx = TermContext(
             around=self.around,
@@ -271,11 +273,13 @@
         now = self.ctx.now()
         routes = self.around.routes()
         if routes is not None:
-            dispatcher.configure(routes.queues)
+            dispatcher.configure(routes.queues, now=now)
         if now - self._reviewed_at >= REVIEW_S:
             self._reviewed_at = now
             dispatcher.retry()
+        unheard = list(dispatcher.succession.unheard)
         orders = dispatcher.decide(now=now, wall_s=self.around.clock.wall())
+        self._note_settled(unheard, now)
         self._log.outcomes(dispatcher)
         for order in orders:
             self._carry_out(order)
@@ -283,6 +287,18 @@
             self._spawn(self._ask(assignment))
         self.ctx.note_changes()
 
+    def _note_settled(self, unheard: list[str], now: float) -> None:
+        """Tell once from when on inherited jobs may start tasks, and which hosts were not heard."""
+        if self._settled or not self.ctx.dispatcher.succession.settled(now):
+            return
+        self._settled = True
+        self.around.log.emit(
+            "term.settled",
+            fence=self.tenure.fence,
+            waited_s=round(now - self._took_over_at, 3),
+            unheard=unheard,
+        )
+
     def _members(self) -> list[Member]:
         members = dict(self.around.view.members)
         members.setdefault(self.around.own.name, self.around.own)
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import heapq
+import itertools
+import math
+from collections.abc import Iterable, Iterator, Mapping
 
 from attrs import Factory, define, field
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
 from rhubarbferry.dispatch import reservations
+from rhubarbferry.dispatch.holds import Holds, deserves_room
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.hung import hung_runs
 from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
@@ -72,10 +76,13 @@
     notes: list[Outcome] = Factory(list)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
+    holds: Holds = Factory(Holds)
     _touched: dict[Step, None] = Factory(dict)
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
     _timed: dict[str, Job] = Factory(dict)
+    _turns: list[tuple[float, int, Step]] = Factory(list)
+    _numbers: Iterator[int] = Factory(itertools.count)
     _was_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -110,7 +117,7 @@
             self._timed.pop(job.id, None)
             self.ended[job.id] = job.phase
 
-    def configure(self, queues: Mapping[str, Queue]) -> None:
+    def configure(self, queues: Mapping[str, Queue], *, now: float) -> None:
         """Apply a configuration: what is not in it keeps its last form."""
         for job in self.jobs.values():
             queue = queues.get(job.queue.name)
@@ -119,7 +126,7 @@
             job.queue = queue
             for step in job.steps():
                 if step in self.waiting:
-                    self._enqueue(step)
+                    self._enqueue(step, now)
 
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not started a task."""
@@ -181,7 +188,7 @@
             return
         incarnations = {id: host.entry.incarnation for id, host in self.tracker.hosts.items()}
         step.approvals.learn(advice, incarnations)
-        self._look_at(step)
+        self._look_at(step, now)
 
     def advice_failed(self, order: AdviceOrder, *, now: float) -> None:
         """Note that a question got no answer."""
@@ -205,11 +212,15 @@
             job.make_due(now, wall_s)
             self._open_steps(job, now)
         self._give_up_reservations(now)
+        self._reorder(now)
+        if self.holds.expire(now):
+            # Any step may take the room that was kept.
+            self.retry()
         self.tracker.note_opened(now)
         for step in [step for step, at in self._ask_again.items() if now >= at]:
             del self._ask_again[step]
             if not step.job.phase.final and not step.done:
-                self._look_at(step)
+                self._look_at(step, now)
         if not self._was_settled and self.succession.settled(now):
             self._was_settled = True
             self.succession.unheard.clear()
@@ -257,7 +268,11 @@
         allowed = open_hosts
         if advice is not None:
             allowed = [host for host in open_hosts if host.id in step.approvals.approved]
-        placed = place(step, allowed)
+        placed = self._find_hosts(step, allowed)
+        if placed:
+            self.holds.drop(step)
+        elif step.waiting() and deserves_room(step, now):
+            self._make_room(step, allowed, now)
         orders: list[Order] = []
         if placed or advice is not None:
             orders += self._reserve(step, placed, now)
@@ -268,6 +283,21 @@
             self.waiting.discard(step)
         return orders
 
+    def _find_hosts(self, step: Step, allowed: list[Host]) -> list[Placed]:
+        if not self.holds or step not in self.waiting:
+            return place(step, allowed)
+        placed = place(step, allowed, self.holds.kept(but=step))
+        if len(placed) == len(step.waiting()):
+            return placed
+        # Steps that go before those with a hold take its room only where there is no other.
+        order = self.waiting.order(step)
+        return place(step, allowed, self.holds.kept_from(order, self.waiting.orders))
+
+    def _make_room(self, step: Step, hosts: list[Host], now: float) -> None:
+        total = len(self.tracker.hosts)
+        for run in self.holds.make_room(step, hosts, total=total, now=now):
+            self.tracker.stop(run, f"gives way to job {step.job.id}")
+
     def _reserve(self, step: Step, placed: Iterable[Placed], now: float) -> list[Order]:
         attempt = step.next_attempt() if step.req.gang else 0
         for item in placed:
@@ -318,10 +348,10 @@
             ticket=ticket,
         )
 
-    def _look_at(self, step: Step) -> None:
+    def _look_at(self, step: Step, now: float) -> None:
         """Look at a step at the next decision, though it may wait for tickets only."""
         self._touched[step] = None
-        self.waiting.add(step, self._order(step))
+        self.waiting.add(step, self._order(step, now))
 
     def _questions(self, step: Step, usable: list[Host], now: float) -> list[Order]:
         """Ask for what the step needs next: tickets for its reservations, else new hosts."""
@@ -330,6 +360,8 @@
         if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
             return []
         wanted = reservations.hosts_without_ticket(step, self.tracker.hosts, now)
+        if not wanted:
+            wanted = self._held_without_ticket(step, now)
         if not wanted and step.waiting():
             wanted = [host.id for host in usable if approvals.unknown(host.id)]
         if not wanted:
@@ -338,10 +370,21 @@
         approvals.asking.update(hosts)
         return [AdviceOrder(step=step.id, hosts=hosts, cost=cost)]
 
+    def _held_without_ticket(self, step: Step, now: float) -> list[str]:
+        """Return the held hosts whose tickets have aged; new ones are there as room comes free."""
+        hosts = [
+            self.tracker.hosts[id] for id in self.holds.hosts(step) if id in self.tracker.hosts
+        ]
+        return [
+            host.id
+            for host in hosts
+            if not step.approvals.ticket(host.id, host.entry.incarnation, now)
+        ]
+
     def _give_up_reservations(self, now: float) -> None:
         for run in reservations.overdue(self.tracker.hosts.values(), now):
             self.tracker.release(run)
-            self._enqueue(run.task.step)
+            self._enqueue(run.task.step, now)
 
     # ------------------------------------------------------------ ends
 
@@ -376,7 +419,7 @@
             self._mark(job)
         if task.step.req.gang:
             self._stop_gang(task.step, end.attempt, "a member ended")
-        self._enqueue(task.step)
+        self._enqueue(task.step, now)
 
     def _run_refused(self, refusal: RunRefused, now: float) -> None:
         task = refusal.task
@@ -390,7 +433,7 @@
         self._ejector.neither(refusal.host, task.step.job.id)
         if task.step.req.gang:
             self._stop_gang(task.step, refusal.attempt, "a member was not started")
-        self._enqueue(task.step)
+        self._enqueue(task.step, now)
 
     def _count_failure(self, task: Task, attempt: int) -> bool:
         """Count a failed run; return whether the job has failed by it."""
@@ -462,17 +505,28 @@
         if job.phase.final:
             return
         for step in job.open_steps(now):
-            self._enqueue(step)
+            self._enqueue(step, now)
 
-    def _enqueue(self, step: Step) -> None:
+    def _enqueue(self, step: Step, now: float) -> None:
         if step.ready_at is None or step.job.phase.final or step.done:
             return
-        self.waiting.add(step, self._order(step))
+        self.waiting.add(step, self._order(step, now))
         self._touched[step] = None
 
-    def _order(self, step: Step) -> Place:
+    def _order(self, step: Step, now: float) -> Place:
         job = step.job
-        return (job.queue.priority, job.arrived_at, job.id, step.id.occurrence, step.id.step)
+        found = job.standing(step, now)
+        if found.until < math.inf:
+            heapq.heappush(self._turns, (found.until, next(self._numbers), step))
+        place = (job.queue.priority, job.arrived_at, job.id, step.id.occurrence, step.id.step)
+        return (int(found.urgency), *place)
+
+    def _reorder(self, now: float) -> None:
+        """Move the steps whose urgency has changed with time."""
+        while self._turns and self._turns[0][0] < now:
+            _, _, step = heapq.heappop(self._turns)
+            if step in self.waiting:
+                self.waiting.add(step, self._order(step, now))
 
     def _note_start(self, job: Job) -> None:
         if not job.started:
@@ -488,6 +542,7 @@
         job.phase = phase
         for step in job.steps():
             self.waiting.discard(step)
+            self.holds.drop(step)
         for run in job.runs():
             if run.phase is RunPhase.RESERVED:
                 self.tracker.release(run)
--- /dev/null
+++ b/rhubarbferry/dispatch/holds.py
@@ -0,0 +1,216 @@
+"""Room that is kept for a step while tasks that matter less give way to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from attrs import Factory, define, frozen
+
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Run, RunPhase, Step
+from rhubarbferry.dispatch.messages import Sizes
+from rhubarbferry.dispatch.objective import Urgency
+from rhubarbferry.dispatch.placement import could_run, slots_on
+from rhubarbferry.dispatch.waiting import Order
+
+# A stopped task is gone within a second, and its end is heard of soon after. Room that was not
+# taken by then is given back to others.
+HOLD_S = 2.5
+# After a hold that came to nothing, before the next one for the same step.
+HOLD_PAUSE_S = 1.0
+# Tasks that are expected to end within this time are waited for and not stopped.
+DRAIN_S = 2.0
+# A run that is stopped counts as much as this time that the step waits, when hosts are compared.
+VICTIM_COST_S = 0.5
+# From this progress on, what is left of a run is worked out from it; before, from its estimate.
+TELLING_PERCENT = 10.0
+# At most this share of the hosts is held for gangs and urgent steps at a time.
+MOST_HELD_SHARE = 0.5
+
+
+@frozen(kw_only=True, slots=True)
+class Hold:
+    """Room kept for the waiting tasks of a step.
+
+    :param slots: how many of its tasks each host is to take.
+    :param until: when it is given up.
+    """
+
+    step: Step
+    slots: dict[str, int]
+    until: float
+
+
+@frozen(kw_only=True, slots=True)
+class _Offer:
+    """What a host can give to a step.
+
+    :param ending: runs that are expected to end soon, with the seconds until then.
+    :param victims: runs that can be stopped, in the order to do so.
+    """
+
+    host: Host
+    slots: int
+    ending: tuple[tuple[float, Run], ...]
+    victims: tuple[Run, ...]
+
+    @property
+    def cost(self) -> tuple[float, str]:
+        """Sort key: what it takes to free a slot here."""
+        longest = self.ending[-1][0] if self.ending else 0.0
+        return (longest + VICTIM_COST_S * len(self.victims) / self.slots, self.host.id)
+
+
+@frozen(kw_only=True, slots=True)
+class _Share:
+    """What is taken of an offer: the runs to stop, and how long the others will take."""
+
+    victims: tuple[Run, ...]
+    wait_s: float
+
+
+@define(kw_only=True, eq=False)
+class Holds:
+    """All holds at present."""
+
+    _holds: dict[Step, Hold] = Factory(dict)
+    _not_before: dict[Step, float] = Factory(dict)
+
+    def __bool__(self) -> bool:
+        return bool(self._holds)
+
+    def hosts(self, step: Step) -> frozenset[str]:
+        """Return the hosts that are held for a step."""
+        hold = self._holds.get(step)
+        return frozenset(hold.slots) if hold is not None else frozenset()
+
+    def drop(self, step: Step) -> None:
+        """Give up the hold of a step."""
+        self._holds.pop(step, None)
+
+    def expire(self, now: float) -> bool:
+        """Give up what was held for too long; return whether there was any."""
+        over = [step for step, hold in self._holds.items() if now >= hold.until]
+        for step in over:
+            del self._holds[step]
+            self._not_before[step] = now + HOLD_PAUSE_S
+        for step in [step for step, at in self._not_before.items() if now >= at]:
+            del self._not_before[step]
+        return bool(over)
+
+    def kept(self, *, but: Step) -> dict[str, Sizes]:
+        """Return what each host keeps for other steps."""
+        return _sum(hold for step, hold in self._holds.items() if step is not but)
+
+    def kept_from(self, order: Order, orders: Mapping[Step, Order]) -> dict[str, Sizes]:
+        """Return what each host keeps for steps that go before ``order``."""
+        return _sum(hold for step, hold in self._holds.items() if orders.get(step, order) < order)
+
+    def make_room(self, step: Step, hosts: Iterable[Host], *, total: int, now: float) -> list[Run]:
+        """Hold room for the waiting tasks of a step; return the runs to stop for it.
+
+        A gang needs room for all its tasks at once. Where small tasks take whatever comes free it
+        would wait until it is late, and so would urgent tasks in a full cell. Tasks of a lower
+        priority that can resume where they were stopped lose a second by giving way.
+
+        :param hosts: those that may run the step now.
+        :param total: number of hosts in all.
+        """
+        if step in self._holds or step in self._not_before:
+            return []
+        held = {id for hold in self._holds.values() for id in hold.slots}
+        drain_s = max(DRAIN_S, step.job.standing(step, now).until - now)
+        offers = [_offer(step, host, drain_s, now) for host in hosts if host.id not in held]
+        offers = sorted((offer for offer in offers if offer.slots > 0), key=lambda o: o.cost)
+        wanted = len(step.waiting())
+        slots: dict[str, int] = {}
+        shares: list[_Share] = []
+        for offer in offers:
+            if not wanted or len(held) + len(slots) >= MOST_HELD_SHARE * total:
+                break
+            taken = min(wanted, offer.slots)
+            slots[offer.host.id] = taken
+            shares.append(_share(step, offer, taken))
+            wanted -= taken
+        if not slots or (wanted and step.req.gang):
+            self._not_before[step] = now + HOLD_PAUSE_S
+            return []
+        wait_s = max(share.wait_s for share in shares)
+        self._holds[step] = Hold(step=step, slots=slots, until=now + HOLD_S + wait_s)
+        return [run for share in shares for run in share.victims]
+
+
+def _sum(holds: Iterable[Hold]) -> dict[str, Sizes]:
+    kept: dict[str, Sizes] = {}
+    for hold in holds:
+        for id, slots in hold.slots.items():
+            kept[id] = kept.get(id, Sizes()).plus(hold.step.req.room.times(slots))
+    return kept
+
+
+def _offer(step: Step, host: Host, drain_s: float, now: float) -> _Offer:
+    if not could_run(step, host):
+        return _Offer(host=host, slots=0, ending=(), victims=())
+    ending: list[tuple[float, Run]] = []
+    victims: list[Run] = []
+    room = host.room
+    for run in host.runs.values():
+        left_s = _left_s(run, now)
+        if left_s > DRAIN_S and _gives_way(run, step):
+            victims.append(run)
+        elif left_s <= drain_s:
+            ending.append((left_s, run))
+        else:
+            continue
+        room = room.plus(run.task.step.req.room)
+    ending.sort(key=lambda pair: pair[0])
+    victims.sort(key=lambda run: (-run.task.step.job.queue.priority, run.percent))
+    return _Offer(
+        host=host,
+        slots=slots_on(step, host, room),
+        ending=tuple(ending),
+        victims=tuple(victims),
+    )
+
+
+def _left_s(run: Run, now: float) -> float:
+    """Return about how long a run will still take; it gets nowhere as long as it is stopping."""
+    if run.stopping:
+        return 0.0
+    spent_s = now - run.ordered_at
+    if run.percent >= TELLING_PERCENT:
+        return spent_s * (100.0 - run.percent) / run.percent
+    return max(0.0, run.task.step.req.estimate_s - spent_s)
+
+
+def _gives_way(run: Run, step: Step) -> bool:
+    other = run.task.step
+    if other.job.queue.priority <= step.job.queue.priority:
+        return False
+    if run.phase is not RunPhase.RUNNING:
+        return False
+    req = other.req
+    return req.checkpointable and not (req.gang or req.lasting or req.may_miss is not None)
+
+
+def _share(step: Step, offer: _Offer, slots: int) -> _Share:
+    """Return the runs that must end for ``slots``: those that do soon before any is stopped."""
+    room = offer.host.room
+    wait_s = 0.0
+    victims: list[Run] = []
+    for left_s, run in offer.ending:
+        if slots_on(step, offer.host, room) >= slots:
+            break
+        room = room.plus(run.task.step.req.room)
+        wait_s = left_s
+    for run in offer.victims:
+        if slots_on(step, offer.host, room) >= slots:
+            break
+        room = room.plus(run.task.step.req.room)
+        victims.append(run)
+    return _Share(victims=tuple(victims), wait_s=wait_s)
+
+
+def deserves_room(step: Step, now: float) -> bool:
+    """Tell whether others may have to give way to a step: it can still be done in time."""
+    return step.job.standing(step, now).urgency is Urgency.IN_TIME
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 from attrs import Factory, define, field
 
 from rhubarbferry.dispatch.approvals import StepApprovals
 from rhubarbferry.dispatch.messages import JobRequest, Queue, StepId, StepRequest, TaskId
+from rhubarbferry.dispatch.objective import Standing, Urgency, standing, tails
 
 
 class JobPhase(StrEnum):
@@ -134,10 +136,14 @@
 
 @define(kw_only=True, eq=False, slots=True)
 class Occurrence:
-    """One time that the steps of a job run."""
+    """One time that the steps of a job run.
+
+    :param due_at: when it came in, or its time came.
+    """
 
     number: int
     steps: list[Step]
+    due_at: float
 
     @property
     def done(self) -> bool:
@@ -168,6 +174,26 @@
     occurrences: dict[int, Occurrence] = Factory(dict)
     next_occurrence: int = 0
     started: bool = False
+    tails: tuple[float, ...] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.tails = tails(self.req.steps)
+
+    @property
+    def objective_s(self) -> float:
+        """By when it is to be done, from its arrival or from the time that it is due."""
+        return self.queue.slack_factor * max(self.tails, default=0.0) + self.queue.objective_s
+
+    def standing(self, step: Step, now: float) -> Standing:
+        """Return what one of its steps can still gain by a start."""
+        if step.req.lasting:
+            return Standing(urgency=Urgency.IN_TIME, until=math.inf)
+        return standing(
+            due_at=self.occurrences[step.id.occurrence].due_at,
+            objective_s=self.objective_s,
+            tail_s=self.tails[step.id.step],
+            now=now,
+        )
 
     @property
     def id(self) -> str:
@@ -180,7 +206,8 @@
             make_step(self, StepId(job=self.id, occurrence=number, step=index), req)
             for index, req in enumerate(self.req.steps)
         ]
-        occurrence = Occurrence(number=number, steps=steps)
+        due_at = now if self.req.times else self.arrived_at
+        occurrence = Occurrence(number=number, steps=steps, due_at=due_at)
         self.occurrences[number] = occurrence
         return occurrence
 
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -39,6 +39,14 @@
             accelerators=self.accelerators + other.accelerators,
         )
 
+    def times(self, number: int) -> Sizes:
+        """Return what ``number`` tasks of this size need."""
+        return Sizes(
+            millicores=self.millicores * number,
+            memory_mb=self.memory_mb * number,
+            accelerators=self.accelerators * number,
+        )
+
     def minus(self, other: Sizes) -> Sizes:
         """Return the difference; a part may be negative."""
         return Sizes(
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import frozen
 
@@ -49,18 +49,21 @@
     return sum(1 for task in step.tasks if task.run is not None and task.run.host == host.id)
 
 
-def place(step: Step, hosts: Iterable[Host]) -> list[Placed]:
+def place(
+    step: Step, hosts: Iterable[Host], kept: Mapping[str, Sizes] | None = None
+) -> list[Placed]:
     """Return hosts for as many waiting tasks as there is room for.
 
     A gang gets hosts for all its tasks or none.
 
     :param hosts: those that may run the step.
+    :param kept: room of hosts that is kept for others.
     """
     need = step.req.room
     fitting = [host for host in hosts if need.fits(host.room) and could_run(step, host)]
     if not fitting:
         return []
-    open_hosts = [(host, slots_on(step, host, host.room)) for host in fitting]
+    open_hosts = [(host, slots_on(step, host, _left(host, kept))) for host in fitting]
     open_hosts = [(host, slots) for host, slots in open_hosts if slots > 0]
     waiting = step.waiting()
     if step.req.gang:
@@ -69,6 +72,12 @@
     return _fill(waiting, open_hosts)
 
 
+def _left(host: Host, kept: Mapping[str, Sizes] | None) -> Sizes:
+    if kept and host.id in kept:
+        return host.room.minus(kept[host.id])
+    return host.room
+
+
 def _rank(step: Step, host: Host) -> tuple[bool, int, str]:
     far = bool(step.req.near_rack) and step.req.near_rack not in host.entry.labels
     left = host.room.millicores - step.req.room.millicores
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -27,10 +27,13 @@
     """A job as it was accepted.
 
     :param queue: as the configuration had it then, for when the queue has since been removed.
+    :param accepted_at_s: time of day (Unix) by the clock of the process that accepted it, 0 where
+        it is not known. Such a clock may be seconds off.
     """
 
     req: JobRequest
     queue: Queue
+    accepted_at_s: float = 0.0
 
 
 _converter = cattrs.Converter(omit_if_default=True, prefer_attrib_converters=True)
--- a/rhubarbferry/dispatch/waiting.py
+++ b/rhubarbferry/dispatch/waiting.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from attrs import Factory, define
 from sortedcontainers import SortedKeyList
 
 from rhubarbferry.dispatch.job import Step
 
-Order = tuple[float, float, str, int, int]
+Order = tuple[int, float, float, str, int, int]
 
 
 def _size_class(step: Step) -> int:
@@ -53,6 +53,11 @@
     def __len__(self) -> int:
         return len(self._orders)
 
+    @property
+    def orders(self) -> Mapping[Step, Order]:
+        """The place of each waiting step."""
+        return self._orders
+
     def order(self, step: Step) -> Order:
         """Return the place of a step."""
         return self._orders[step]
--- a/rhubarbferry/management/commands/bench.py
+++ b/rhubarbferry/management/commands/bench.py
@@ -9,7 +9,7 @@
 
 from rhubarbferry.management.exits import Exit
 
-Experiment = Literal["all", "requests", "placement", "shares"]
+Experiment = Literal["all", "requests", "placement", "shares", "days"]
 ProfileName = Literal["today", "aim"]
 
 
@@ -20,6 +20,7 @@
     seed: int = 1,
     request_seconds: float = 60.0,
     share_seconds: float = 600.0,
+    day_seconds: float = 60.0,
     steps: int = 1000,
     output: Path | None = None,
     plot: Path | None = None,
@@ -31,6 +32,7 @@
     :param seed: of the generated work; the same gives the same figures but for the times.
     :param request_seconds: generated time at each load of the requests.
     :param share_seconds: generated time of the runs that tell shares.
+    :param day_seconds: generated time for which jobs come in on each day.
     :param steps: batches of the placement experiment.
     :param output: a file for the JSON, in place of standard output.
     :param plot: a PNG to draw; needs matplotlib.
@@ -42,6 +44,7 @@
         seed=seed,
         request_seconds=request_seconds,
         share_seconds=share_seconds,
+        day_seconds=day_seconds,
         steps=steps,
     )
     report = run(plan, EXPERIMENTS if experiment == "all" else (experiment,))
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -213,7 +213,8 @@
         except JobFormError as exc:
             self.log.emit("job.not_accepted", job=id, reason=str(exc), outcome="malformed")
             return _problem(400, str(exc))
-        record = JobRecord(req=req, queue=route.queue)
+        accepted_at_s = round(self.clock.wall(), 2)
+        record = JobRecord(req=req, queue=route.queue, accepted_at_s=accepted_at_s)
         match await self.jobs.submit(record, deadline=call.deadline):
             case Accepted.YES:
                 return Reply(status=200)
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -30,6 +30,7 @@
     """What goes wrong now.
 
     :param down: every call is turned away with 503.
+    :param over_rate: every call is turned away with 429.
     :param lose_every: of so many writes one is carried out and not answered; 0 for none.
     :param late_s: such a write is carried out only after this time.
     :param no_history: watches are told that their history is gone.
@@ -37,6 +38,7 @@
     """
 
     down: bool = False
+    over_rate: bool = False
     lose_every: int = 0
     late_s: float = 0.0
     no_history: bool = False
@@ -87,6 +89,8 @@
         self.calls[call] = self.calls.get(call, 0) + 1
         await asyncio.sleep(ANSWER_S)
         self._expire()
+        if self.trouble.over_rate:
+            return Response(status_code=429)
         return Response(status_code=503) if self.trouble.down else None
 
     async def _key(self, request: Request) -> Response:
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -16,7 +16,7 @@
 from rhubarbferry.core.cell import Size
 from rhubarbferry.management.commands.bench import bench
 
-SHARE_SECONDS = {"requests": "4", "placement": "0", "shares": "80"}
+SHARE_SECONDS = {"requests": "4", "placement": "0", "shares": "80", "days": "0"}
 
 
 @pytest.mark.parametrize("name", EXPERIMENTS)
@@ -32,7 +32,7 @@
 def figures_of_process(name: str, hash_seed: str) -> object:
     share_seconds = SHARE_SECONDS[name]
     argv = [sys.executable, "-m", "rhubarbferry", "bench", name, "--seed", "10", "--steps", "20"]
-    argv += ["--request-seconds", "2", "--share-seconds", share_seconds]
+    argv += ["--request-seconds", "2", "--share-seconds", share_seconds, "--day-seconds", "5"]
     env = {**os.environ, "PYTHONHASHSEED": hash_seed}
     done = subprocess.run(argv, env=env, capture_output=True, check=True, timeout=120)
     return without_wall(json.loads(done.stdout))
--- a/tests/cell/parts.py
+++ b/tests/cell/parts.py
@@ -34,7 +34,7 @@
     )
 
 
-def record(id: str) -> JobRecord:
+def record(id: str, **fields) -> JobRecord:
     step = StepRequest(count=1, sizes=Sizes(millicores=1000, memory_mb=100), estimate_s=1.0)
     req = JobRequest(id=id, queue=QUEUE.name, payload="work", steps=(step,))
-    return JobRecord(req=req, queue=QUEUE)
+    return JobRecord(req=req, queue=QUEUE, **fields)
--- a/tests/cell/test_inbox.py
+++ b/tests/cell/test_inbox.py
@@ -26,12 +26,12 @@
 LEASE = 7
 
 
-async def accept(store, id: str, phase: JobPhase = JobPhase.QUEUED) -> int:
+async def accept(store, id: str, phase: JobPhase = JobPhase.QUEUED, **fields) -> int:
     result = await store.commit(
         Txn(
             put=(
                 Put(key=keys.STATES + id, value=encode_phase(phase)),
-                Put(key=keys.JOBS + id, value=encode_request(record(id))),
+                Put(key=keys.JOBS + id, value=encode_request(record(id, **fields))),
             )
         )
     )
@@ -82,6 +82,17 @@
     assert found.ctx.removable == ["b"]
 
 
+@pytest.mark.parametrize(("ago_s", "age_s"), [(5.0, 5.0), (-5.0, 0.0), (4000.0, 0.0)])
+async def test_an_inherited_job_keeps_its_age_unless_a_clock_is_wrong(store, ago_s, age_s):
+    """A job has waited through a takeover and can't be done in time any more. Taken for new, it
+    would go before jobs that can."""
+    await accept(store, "a", accepted_at_s=time.time() - ago_s)
+    found = await inbox(store)
+    await found.load()
+    (job,) = found.ctx.dispatcher.jobs.values()
+    assert time.monotonic() - job.arrived_at == pytest.approx(age_s, abs=0.5)
+
+
 async def test_a_job_told_and_then_seen_in_the_store_is_one_job(store):
     found = await inbox(store)
     await found.load()
--- /dev/null
+++ b/tests/dispatch/host_model.py
@@ -0,0 +1,184 @@
+"""A host that keeps to the published rules, and an oracle that watches all of them."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+from rhubarbferry.dispatch.messages import (
+    EndedTask,
+    EndKind,
+    HostEntry,
+    HostReport,
+    OrderResult,
+    Refusal,
+    Refused,
+    RunningTask,
+    Sizes,
+    Started,
+    StartOrder,
+    StepRequest,
+    StopOrder,
+    TaskId,
+)
+
+LEASE_S = 6.0
+GANG_S = 3.0
+CAPACITY = Sizes(millicores=4000, memory_mb=64_000)
+
+
+class RuleBroken(AssertionError):
+    """What must never happen has happened."""
+
+
+@define
+class Oracle:
+    """Knows every run on every host and every end that was taken note of."""
+
+    steps: dict[str, tuple[StepRequest, ...]] = Factory(dict)
+    attempts: int = 3
+    hosts: dict[str, HostModel] = Factory(dict)
+    done: set[TaskId] = Factory(set)
+    noted_done: set[TaskId] = Factory(set)
+    noted_failed: dict[TaskId, set[int]] = Factory(dict)
+
+    def request(self, task: TaskId) -> StepRequest:
+        if task.job not in self.steps:
+            raise RuleBroken(f"nobody submitted {task.job}")
+        return self.steps[task.job][task.step]
+
+    def started(self, host: HostModel, task: TaskId) -> None:
+        req = self.request(task)
+        used = sum(self.request(run).room.millicores for run, _ in host.running)
+        if used > CAPACITY.millicores:
+            raise RuleBroken(f"{host.id} has {used} of {CAPACITY.millicores}")
+        runs = [run for each in self.hosts.values() for run, _ in each.running if run == task]
+        if len(runs) > 1:
+            raise RuleBroken(f"{task} runs twice")
+        if task in self.noted_done:
+            raise RuleBroken(f"{task} starts though its end was taken note of")
+        failed = self.noted_failed.get(task, set())
+        if not req.gang and len(failed) >= self.attempts:
+            raise RuleBroken(f"{task} starts after {len(failed)} failures")
+        for before in req.after:
+            count = self.steps[task.job][before].count
+            members = {task_of(task.job, before, index) for index in range(count)}
+            gang = self.steps[task.job][before].gang
+            if not (members & self.done if gang else members <= self.done):
+                raise RuleBroken(f"{task} starts before step {before} is done")
+
+    def noted(self, ended: EndedTask) -> None:
+        if ended.how is EndKind.DONE:
+            self.noted_done.add(ended.task)
+        elif ended.how is EndKind.FAILED:
+            self.noted_failed.setdefault(ended.task, set()).add(ended.attempt)
+
+
+def task_of(job: str, step: int, index: int) -> TaskId:
+    return TaskId(job=job, occurrence=0, step=step, index=index)
+
+
+@define
+class HostModel:
+    """One host.
+
+    :ivar rate: how fast its clock runs.
+    """
+
+    id: str
+    oracle: Oracle
+    rate: float = 1.0
+    incarnation: int = 1
+    clock_s: float = 50.0
+    lease_until: float = 0.0
+    fence: int = 0
+    dead: bool = False
+    running: dict[tuple[TaskId, int], float] = Factory(dict)
+    ended: list[EndedTask] = Factory(list)
+    numbers: int = 0
+    refused_to: dict[TaskId, int] = Factory(dict)
+
+    def entry(self) -> HostEntry:
+        return HostEntry(
+            id=self.id,
+            incarnation=self.incarnation,
+            service="pool",
+            address=f"{self.id}:1",
+            capacity=CAPACITY,
+        )
+
+    def advance(self, seconds: float) -> None:
+        self.clock_s += seconds * self.rate
+        if self.clock_s > self.lease_until:
+            for run in list(self.running):
+                self.end(run, EndKind.LAPSED)
+
+    def restart(self) -> None:
+        self.incarnation += 1
+        self.clock_s = self.lease_until = 0.0
+        self.fence = self.numbers = 0
+        self.running.clear()
+        self.ended.clear()
+        self.refused_to.clear()
+        self.dead = False
+
+    def end(self, run: tuple[TaskId, int], how: EndKind) -> None:
+        del self.running[run]
+        task, attempt = run
+        self.refused_to[task] = max(self.refused_to.get(task, 0), attempt)
+        self.numbers += 1
+        checkpoint = "saved" if how is EndKind.STOPPED else ""
+        self.ended.append(
+            EndedTask(
+                number=self.numbers, task=task, attempt=attempt, how=how, checkpoint=checkpoint
+            )
+        )
+        if how is EndKind.DONE:
+            self.oracle.done.add(task)
+
+    def start(self, order: StartOrder, fence: int) -> OrderResult:
+        if fence < self.fence:
+            return Refused(reason=Refusal.STALE_FENCE)
+        self.fence = fence
+        run = (order.task, order.attempt)
+        if run in self.running:
+            return Started(clock_s=self.clock_s)
+        if order.attempt <= self.refused_to.get(order.task, 0):
+            self.lease_until = max(self.lease_until, order.deadline_s)
+            return Refused(reason=Refusal.OLD_ATTEMPT)
+        if self.clock_s > order.deadline_s:
+            return Refused(reason=Refusal.LATE)
+        self.lease_until = max(self.lease_until, order.deadline_s)
+        self.running[run] = self.clock_s
+        self.oracle.started(self, order.task)
+        return Started(clock_s=self.clock_s)
+
+    def stop(self, order: StopOrder, fence: int) -> float | None:
+        if fence < self.fence:
+            return None
+        self.fence = fence
+        run = (order.task, order.attempt)
+        if run in self.running:
+            self.end(run, EndKind.STOPPED)
+        self.refused_to[order.task] = max(self.refused_to.get(order.task, 0), order.attempt)
+        return self.clock_s
+
+    def hold(self, fence: int, deadline_s: float | None, forget_to: int) -> HostReport | None:
+        if fence < self.fence:
+            return None
+        self.fence = fence
+        if deadline_s is not None:
+            until = min(deadline_s, self.clock_s + LEASE_S)
+            self.lease_until = max(self.lease_until, until)
+        for ended in self.ended:
+            if ended.number <= forget_to:
+                self.oracle.noted(ended)
+        self.ended = [ended for ended in self.ended if ended.number > forget_to]
+        return HostReport(
+            clock_s=self.clock_s,
+            incarnation=self.incarnation,
+            running=tuple(
+                RunningTask(task=task, attempt=attempt, percent=10 * (self.clock_s - begun))
+                for (task, attempt), begun in self.running.items()
+            ),
+            ended=tuple(self.ended),
+        )
--- /dev/null
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -0,0 +1,287 @@
+"""The dispatcher with late, lost and repeated orders, against an oracle of what must never happen.
+
+Hosts keep to the published rules and run clocks of their own, up to 2 % slow. Between them and the
+owner orders are lost, carried out without an answer, or carried out seconds late; hosts are cut
+off, die and come back; the owner is replaced by one that knows only what is on record. In the end
+all is well again, and each job must end.
+"""
+
+from __future__ import annotations
+
+import os
+from enum import Enum
+
+from attrs import define
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.hosts import CLOCK_DRIFT, LAPSE_MARGIN_S
+from rhubarbferry.dispatch.job import Job, JobPhase
+from rhubarbferry.dispatch.messages import (
+    EndKind,
+    JobRequest,
+    Queue,
+    Sizes,
+    StartOrder,
+    StepRequest,
+    StopOrder,
+    Unanswered,
+)
+from rhubarbferry.dispatch.record import encode_state, restore_state
+from rhubarbferry.dispatch.succession import RosterEntry, Succession
+
+from .host_model import CAPACITY, LEASE_S, HostModel, Oracle
+
+FUZZ = os.environ.get("HYPOTHESIS_PROFILE") == "fuzz"
+EXAMPLES = 2000 if FUZZ else 150
+STEPS = 50
+HOSTS = 3
+TICK_S = 0.25
+# A late order is carried out after at most this time, and the longest lease runs out after it.
+LATE_S = 4.0
+REST_S = 60.0
+QUEUES = (
+    Queue(name="urgent", service="pool", priority=0, attempts=3, objective_s=5.0),
+    Queue(name="batch", service="pool", priority=2, attempts=3, objective_s=500.0),
+)
+
+
+class Fate(Enum):
+    """What becomes of orders to a host."""
+
+    ANSWERED = "answered"
+    LOST = "lost"
+    NOT_ANSWERED = "carried out and not answered"
+    LATE = "carried out late"
+
+
+@define
+class LateOrder:
+    at: float
+    host: HostModel
+    incarnation: int
+    order: StartOrder | StopOrder
+    fence: int
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    @initialize(rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=HOSTS, max_size=HOSTS))
+    def begin(self, rates):
+        self.now = 100.0
+        self.fence = 1
+        self.count = 0
+        self.oracle = Oracle()
+        self.late: list[LateOrder] = []
+        self.records: dict[str, tuple[JobRequest, Queue, bytes | None, int]] = {}
+        self.ended: dict[str, JobPhase] = {}
+        self.cut: set[str] = set()
+        self.fates: dict[str, Fate] = {}
+        for index, rate in enumerate(rates):
+            host = HostModel(id=f"h{index}", oracle=self.oracle, rate=rate)
+            self.oracle.hosts[host.id] = host
+        self.take_over()
+
+    # ------------------------------------------------------------ what happens
+
+    @rule(
+        widths=st.lists(st.integers(1, 4), min_size=1, max_size=2),
+        cores=st.integers(1, 3),
+        gang=st.booleans(),
+        checkpointable=st.booleans(),
+        queue=st.sampled_from(QUEUES),
+    )
+    def submit(self, widths, cores, gang, checkpointable, queue):
+        self.count += 1
+        # A gang that no set of hosts can hold would rightly wait for good.
+        most = HOSTS * (CAPACITY.millicores // (cores * 1000)) if gang else max(widths)
+        steps = tuple(
+            StepRequest(
+                count=min(width, most),
+                sizes=Sizes(millicores=cores * 1000, memory_mb=10),
+                estimate_s=2.0,
+                after=(index - 1,) if index else (),
+                gang=gang,
+                checkpointable=checkpointable,
+            )
+            for index, width in enumerate(widths)
+        )
+        req = JobRequest(id=f"j{self.count}", queue=queue.name, payload="", steps=steps)
+        self.oracle.steps[req.id] = steps
+        self.records[req.id] = (req, queue, None, self.fence)
+        self.dispatcher.add_job(self.job(req, queue), now=self.now, wall_s=self.now)
+
+    @rule(ticks=st.sampled_from([1, 2, 4, 8, 16, 30]))
+    def go_on(self, ticks):
+        for _ in range(ticks):
+            self.tick()
+
+    @rule(host=st.integers(0, HOSTS - 1), fate=st.sampled_from(Fate))
+    def orders_meet(self, host, fate):
+        self.fates[f"h{host}"] = fate
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def cut_off(self, host):
+        self.cut.add(f"h{host}")
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+        self.fates.clear()
+
+    @rule(host=st.integers(0, HOSTS - 1), at_once=st.booleans())
+    def crash(self, host, at_once):
+        found = self.oracle.hosts[f"h{host}"]
+        found.running.clear()
+        found.dead = True
+        if at_once:
+            found.restart()
+
+    @rule(pick=st.integers(0, 50), how=st.sampled_from([EndKind.DONE, EndKind.FAILED]))
+    def a_run_ends(self, pick, how):
+        runs = [(host, run) for host in self.oracle.hosts.values() for run in host.running]
+        if runs:
+            host, run = runs[pick % len(runs)]
+            host.end(run, how)
+
+    @precondition(lambda self: self.dispatcher.jobs)
+    @rule(pick=st.integers(0, 50))
+    def cancel(self, pick):
+        jobs = sorted(self.dispatcher.jobs)
+        self.dispatcher.cancel_job(jobs[pick % len(jobs)])
+
+    @rule()
+    def record(self):
+        """Write what has changed; hosts may forget the ends that it covers."""
+        seen = [(host, host.entry, host.seen_end) for host in self.tracked()]
+        for job in list(self.dispatcher.dirty.values()):
+            req, queue, _, fence = self.records[job.id]
+            self.records[job.id] = (req, queue, encode_state(job), fence)
+            if job.phase.final:
+                self.ended[job.id] = job.phase
+                del self.records[job.id]
+                self.dispatcher.recorded(job)
+        self.dispatcher.dirty.clear()
+        for host, entry, end in seen:
+            if host.entry.incarnation == entry.incarnation:
+                host.recorded_end = max(host.recorded_end, end)
+
+    @rule()
+    def take_over(self):
+        """Another process becomes the owner; it knows what is on record and nothing else."""
+        self.fence += 1
+        roster = {
+            host.id: RosterEntry(
+                id=host.id, address="", incarnation=host.incarnation, service="pool"
+            )
+            for host in self.oracle.hosts.values()
+        }
+        lapsed_at = self.now + LEASE_S * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+        self.dispatcher = Dispatcher(
+            succession=Succession(unheard=roster, lapsed_at=lapsed_at), lease_s=LEASE_S
+        )
+        for host in self.oracle.hosts.values():
+            self.dispatcher.host_listed(host.entry(), now=self.now)
+        for req, queue, state, _ in list(self.records.values()):
+            job = self.job(req, queue, inherited=True)
+            if state is not None:
+                job.add_occurrence(0, self.now)
+                restore_state(job, state, now=self.now)
+            self.dispatcher.add_job(job, now=self.now, wall_s=self.now)
+
+    # ------------------------------------------------------------ how it goes on
+
+    def job(self, req: JobRequest, queue: Queue, *, inherited: bool = False) -> Job:
+        return Job(
+            req=req,
+            queue=queue,
+            arrived_at=self.now,
+            created_revision=1,
+            record_revision=1,
+            inherited=inherited,
+            first_attempt=self.fence * 1000 if inherited else 1,
+        )
+
+    def tracked(self):
+        return list(self.dispatcher.tracker.hosts.values())
+
+    def tick(self) -> None:
+        self.now += TICK_S
+        for host in self.oracle.hosts.values():
+            host.advance(TICK_S)
+        for item in [item for item in self.late if item.at <= self.now]:
+            self.late.remove(item)
+            if item.host.incarnation == item.incarnation and not item.host.dead:
+                self.carry_out(item.host, item.order, item.fence)
+        for host in self.oracle.hosts.values():
+            self.look(host)
+        for order in self.dispatcher.decide(now=self.now, wall_s=self.now):
+            self.send(order)
+        self.dispatcher.notes.clear()
+
+    def look(self, host: HostModel) -> None:
+        if not host.dead:
+            self.dispatcher.host_listed(host.entry(), now=self.now)
+        state = self.dispatcher.tracker.hosts.get(host.id)
+        if state is None or host.dead:
+            if state is not None:
+                self.dispatcher.host_unlisted(host.id)
+            return
+        deadline_s = state.hold(self.now, LEASE_S)
+        if host.id in self.cut:
+            return
+        report = host.hold(self.fence, deadline_s, state.recorded_end)
+        assert report is not None
+        self.dispatcher.reported(host.id, report, sent_at=self.now, now=self.now)
+
+    def send(self, order) -> None:
+        host = self.oracle.hosts[order.host]
+        fate = Fate.LOST if host.id in self.cut else self.fates.get(host.id, Fate.ANSWERED)
+        if host.dead:
+            fate = Fate.LOST
+        result = None
+        if fate in (Fate.ANSWERED, Fate.NOT_ANSWERED):
+            result = self.carry_out(host, order, self.fence)
+        if fate is Fate.LATE:
+            self.late.append(
+                LateOrder(self.now + LATE_S, host, host.incarnation, order, self.fence)
+            )
+        if fate is not Fate.ANSWERED:
+            result = Unanswered()
+        match order:
+            case StartOrder():
+                self.dispatcher.start_answered(
+                    host.id, order.task, order.attempt, result, now=self.now
+                )
+            case StopOrder() if isinstance(result, float):
+                self.dispatcher.stop_answered(host.id, order.task, order.attempt, result)
+
+    def carry_out(self, host: HostModel, order, fence: int):
+        if isinstance(order, StartOrder):
+            return host.start(order, fence)
+        return host.stop(order, fence)
+
+    def teardown(self):
+        """All is well again: each job ends, by its tasks or by its failures."""
+        if not hasattr(self, "dispatcher"):
+            return
+        self.heal()
+        for host in self.oracle.hosts.values():
+            if host.dead:
+                host.restart()
+        end = self.now + REST_S
+        while self.now < end and self.dispatcher.jobs:
+            self.tick()
+            for host in self.oracle.hosts.values():
+                for run, begun in list(host.running.items()):
+                    if host.clock_s - begun > 1.0:
+                        host.end(run, EndKind.DONE)
+            self.record()
+        assert not self.dispatcher.jobs, "jobs stand still though all is well"
+
+
+TestDispatcherMachine = DispatcherMachine.TestCase
+TestDispatcherMachine.settings = settings(
+    max_examples=EXAMPLES, stateful_step_count=STEPS, derandomize=not FUZZ, deadline=None
+)
--- /dev/null
+++ b/tests/dispatch/test_holds.py
@@ -0,0 +1,127 @@
+"""Room for gangs and urgent tasks in a full cell.
+
+The load is that of the busiest days: three of four cores in use, wide gangs of long tasks among
+batches of shorter ones that can resume where they were stopped.
+"""
+
+from __future__ import annotations
+
+import pytest
+from attrs import evolve
+
+from rhubarbferry.dispatch.messages import EndKind, Queue, StopOrder
+
+from .world import CORES, QUEUE, World, job, step
+
+BATCH = evolve(QUEUE, name="batch", priority=2, slack_factor=9.0, objective_s=60.0)
+WIDE = evolve(QUEUE, name="wide", priority=1, slack_factor=9.0, objective_s=60.0)
+
+
+def full_of(world: World, *, queue: Queue = BATCH, estimate_s: float = 20.0, **fields) -> list:
+    """Fill all hosts with tasks of one core each."""
+    count = 8 * len(world.hosts)
+    filler = evolve(step(count, checkpointable=True, **fields), estimate_s=estimate_s)
+    world.add(job("filler", filler, queue=queue, arrived_at=world.now))
+    orders = world.starts()
+    assert len(orders) == count
+    world.accept(*orders)
+    world.now += 0.1
+    world.hear()
+    return orders
+
+
+def stops(world: World, seconds: float = 0.0) -> list[StopOrder]:
+    return [order for order in world.decide(seconds) if isinstance(order, StopOrder)]
+
+
+def test_a_gang_that_finds_no_room_gets_it_from_tasks_that_can_resume():
+    """All hosts are full of small tasks, and whenever one ends another takes its place. The gang
+    needs room for all its tasks at once, so without a hold it would wait until it is late: drums
+    stand unsold while their assay waits."""
+    world = World("a", "b")
+    full_of(world)
+    world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
+    world.add(job("more", step(16), queue=BATCH, arrived_at=10.0))
+    stopped = stops(world)
+    assert len(stopped) == 8
+    for order in stopped:
+        world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
+        world.now += 0.05
+        world.hear()
+        assert {start.task.job for start in world.starts()} <= {"gang"}
+    assert world.dispatcher.jobs["gang"].started
+
+
+def test_stopped_tasks_resume_from_where_they_were():
+    world = World("a", "b")
+    full_of(world)
+    gang = job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0)
+    world.add(gang)
+    for order in stops(world):
+        world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
+    world.now += 0.1
+    world.hear()
+    starts = world.starts()
+    world.accept(*[order for order in starts if order.task.job == "gang"])
+    for order in starts:
+        world.hosts[order.host].end(order)
+    world.now += 0.1
+    world.hear()
+    resumed = world.starts()
+    assert {order.checkpoint for order in resumed} == {"saved"}
+    assert {order.attempt for order in resumed} == {2}
+
+
+SPARED = {
+    "tasks of the same priority": {"queue": evolve(BATCH, priority=1)},
+    "tasks of a higher priority": {"queue": evolve(BATCH, priority=0)},
+    "gangs": {"gang": True},
+    "tasks that last": {"lasting": True},
+    "tasks with a bound on what may be away": {"may_miss": 1},
+}
+
+
+@pytest.mark.parametrize("fields", SPARED.values(), ids=SPARED.keys())
+def test_these_are_not_stopped_for_others(fields):
+    """A stop costs the work since the last saved point, and for what lasts its own users. Only
+    tasks that matter less, and lose next to nothing, give way."""
+    world = World("a", "b")
+    full_of(world, **fields)
+    world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
+    assert stops(world) == []
+
+
+def test_tasks_that_end_soon_are_waited_for():
+    world = World("a", "b")
+    full_of(world, estimate_s=1.0)
+    world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
+    assert stops(world) == []
+
+
+def test_a_job_that_can_no_longer_be_done_in_time_makes_nobody_give_way():
+    world = World("a", "b")
+    full_of(world)
+    hasty = evolve(WIDE, slack_factor=1.0, objective_s=0.5)
+    world.add(job("gang", step(4, gang=True), queue=hasty, arrived_at=world.now - 5.0))
+    assert stops(world) == []
+
+
+def test_a_hold_that_came_to_nothing_is_given_back():
+    """One of the tasks that were stopped goes on: its host has not taken the stop. The room that
+    the others gave up must not stay empty for good."""
+    world = World("a", "b")
+    full_of(world)
+    world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
+    stopped = stops(world)
+    for order in stopped[1:]:
+        world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
+    world.now += 0.1
+    world.hear()
+    assert world.starts() == []
+    started = []
+    for _ in range(8):
+        world.now += 0.5
+        world.hear()
+        started += world.starts()
+    assert {order.task.job for order in started} == {"filler"}
+    assert len(started) == len(stopped) - 1
--- /dev/null
+++ b/tests/dispatch/test_objective.py
@@ -0,0 +1,64 @@
+"""Who goes first when more waits than can be done in time."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbferry.dispatch.messages import Queue
+from rhubarbferry.dispatch.objective import Urgency, standing, tails
+
+from .world import CORES, World, job, step
+
+SLIPS = Queue(name="slips", service="pool", slack_factor=1.5, objective_s=0.5)
+
+CHAINS = {
+    "one step": ([step()], (1.0,)),
+    "one after the other": ([step(), step(after=(0,)), step(after=(1,))], (3.0, 2.0, 1.0)),
+    "side by side": ([step(), step()], (1.0, 1.0)),
+    "two that join": ([step(), step(), step(after=(0, 1))], (2.0, 2.0, 1.0)),
+}
+
+
+@pytest.mark.parametrize(("steps", "expected"), CHAINS.values(), ids=CHAINS.keys())
+def test_tails_are_the_longest_chains_to_the_end(steps, expected):
+    assert tails(steps) == expected
+
+
+STANDINGS = [
+    (10.0, Urgency.IN_TIME, 11.0),
+    (11.0, Urgency.IN_TIME, 11.0),
+    (11.1, Urgency.LATE, 15.0),
+    (15.1, Urgency.MISSED, float("inf")),
+]
+
+
+@pytest.mark.parametrize(("now", "urgency", "until"), STANDINGS)
+def test_urgency_by_what_can_still_be_gained(now, urgency, until):
+    found = standing(due_at=10.0, objective_s=2.0, tail_s=1.0, now=now)
+    assert (found.urgency, found.until) == (urgency, until)
+
+
+def test_after_an_outage_jobs_that_can_be_done_in_time_go_before_those_that_cannot():
+    """For some seconds nobody started tasks. In order of arrival, each job that comes in after
+    that would wait behind the backlog until it is late as well; a user would see seconds of
+    outage turn into tens of seconds of late slips."""
+    world = World("a", millicores=2 * CORES)
+    for index in range(4):
+        world.add(job(f"old{index}", step(), queue=SLIPS, arrived_at=world.now - 5.0))
+    for index in range(2):
+        world.add(job(f"new{index}", step(), queue=SLIPS, arrived_at=world.now))
+    assert {order.task.job for order in world.starts()} == {"new0", "new1"}
+
+
+def test_a_job_that_waits_turns_late_and_lets_others_pass():
+    world = World("a", millicores=CORES)
+    world.add(job("first", step(), queue=SLIPS, arrived_at=world.now))
+    (order,) = world.starts()
+    world.accept(order)
+    world.add(job("waits", step(), queue=SLIPS, arrived_at=world.now))
+    assert world.starts(3.0) == []
+    world.add(job("fresh", step(), queue=SLIPS, arrived_at=world.now))
+    world.hosts["a"].end(order)
+    world.now += 0.1
+    world.hear()
+    assert [order.task.job for order in world.starts()] == ["fresh"]
--- /dev/null
+++ b/tests/on_platform/test_forms.py
@@ -0,0 +1,264 @@
+"""What the platform's bodies and files say, translated once; and what is no such thing."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from rhubarbferry.dispatch.messages import HostPhase, Sizes, StepId, TaskId
+from rhubarbferry.platform.configuration import ConfigurationError, decode_configuration
+from rhubarbferry.platform.directory import PlatformDirectory, decode_entry
+from rhubarbferry.platform.job_forms import (
+    MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
+    MAX_TASKS,
+    JobFormError,
+    parse_job,
+)
+from rhubarbferry.platform.names import parse_task, step_name, task_name
+from rhubarbferry.platform.settings import SettingsFileError, decode
+from rhubarbferry.ports.store import KeyValue, Listing
+
+ID = "5c0e7a21d94b36f8"
+
+# ------------------------------------------------------------------------- jobs
+
+
+def phase(**fields: Any) -> dict[str, Any]:
+    return {"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 900, **fields}
+
+
+def job(*phases: dict[str, Any], **fields: Any) -> bytes:
+    return json.dumps({"spec": "text", "phases": list(phases), **fields}).encode()
+
+
+def test_each_field_of_a_step_reaches_its_own():
+    body = job(
+        phase(),
+        phase(
+            gpu=2,
+            after=[0],
+            gang=True,
+            colocated=True,
+            checkpointable=True,
+            requiredLabel="a",
+            affinity="r1-3",
+            maxPerServer=4,
+            speculative=True,
+            longRunning=True,
+            image="img",
+            goalMs=250,
+            fillCount=True,
+            disruptionBudget=3,
+        ),
+        times=2,
+        startAtMs=1_500,
+        intervalMs=250,
+    )
+    req = parse_job(ID, "queue", body)
+    assert (req.payload, req.times, req.start_at_s, req.interval_s) == ("text", 2, 1.5, 0.25)
+    first, second = req.steps
+    assert (first.sizes, first.estimate_s, first.after) == (
+        Sizes(millicores=500, memory_mb=256),
+        0.9,
+        (),
+    )
+    assert first.may_miss is None
+    assert second.sizes.accelerators == 2
+    assert second.after == (0,)
+    assert second.gang and second.one_rack and second.checkpointable
+    assert (second.required_label, second.near_rack, second.max_per_host) == ("a", "r1-3", 4)
+    assert second.copies_allowed and second.lasting and second.filling
+    assert (second.image, second.goal_s, second.may_miss) == ("img", 0.25, 3)
+
+
+BAD_JOBS = {
+    "no JSON": b"{",
+    "bytes that are no text": b"\xff\xfe",
+    "a list": b"[]",
+    "no steps": job(),
+    "steps of another type": json.dumps({"phases": 3}).encode(),
+    "a step that is no object": json.dumps({"phases": [3]}).encode(),
+    "too many steps": job(*[phase()] * (MAX_STEPS + 1)),
+    "too many tasks": job(phase(count=MAX_TASKS + 1)),
+    "no tasks": job(phase(count=0)),
+    "a part of a task": job(phase(count=1.5)),
+    "a size below zero": job(phase(cpu=-1)),
+    "a size that is text": job(phase(cpu="1")),
+    "a size that is true": job(phase(memMb=True)),
+    "a step after itself": job(phase(after=[0])),
+    "a step after a later one": job(phase(after=[1]), phase()),
+    "a step after one below zero": job(phase(), phase(after=[-1])),
+    "a flag that is a number": job(phase(gang=1)),
+    "a label that is a number": job(phase(requiredLabel=1)),
+    "a spec that is too long": job(phase(), spec="x" * (MAX_PAYLOAD_BYTES + 1)),
+    "a spec that is no text": job(phase(), spec=1),
+}
+
+
+@pytest.mark.parametrize("body", BAD_JOBS.values(), ids=BAD_JOBS.keys())
+def test_what_is_no_job_is_refused_with_the_field(body):
+    with pytest.raises(JobFormError, match=r"\w+"):
+        parse_job(ID, "queue", body)
+
+
+def test_names_of_tasks_and_steps_read_back():
+    task = TaskId(job=ID, occurrence=2, step=1, index=17)
+    assert task_name(task) == f"{ID}.2.1.17"
+    assert parse_task(task_name(task)) == task
+    assert step_name(StepId(job=ID, occurrence=2, step=1)) == f"{ID}.2.1"
+
+
+# ------------------------------------------------------------------------- hosts
+
+ENTRY = {
+    "service": "pool",
+    "addr": "10.0.0.1:8080",
+    "zone": "cm-doi",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "born": 1_700_000_000_123,
+}
+
+
+def test_a_registration_is_a_host():
+    entry = decode_entry("i-1", {**ENTRY, "state": "draining", "remainingMs": 2500})
+    assert (entry.id, entry.incarnation) == ("i-1", 1_700_000_000_123)
+    assert (entry.phase, entry.remaining_s) == (HostPhase.DRAINING, 2.5)
+    assert entry.capacity == Sizes(millicores=16000, memory_mb=32768, accelerators=1)
+    assert (entry.failure_domain, entry.labels) == ("cm-doi", ("a", "r1-3"))
+
+
+FOREIGN = {
+    "no JSON": b"\x00\x01",
+    "a number": b"7",
+    "no address": json.dumps({k: v for k, v in ENTRY.items() if k != "addr"}).encode(),
+    "an address without a port": json.dumps({**ENTRY, "addr": "10.0.0.1"}).encode(),
+    "a state that is not known": json.dumps({**ENTRY, "state": "asleep"}).encode(),
+    "a capacity of another type": json.dumps({**ENTRY, "capacity": 3}).encode(),
+    "a size that is text": json.dumps({**ENTRY, "capacity": {"cpu": "x", "memMb": 1}}).encode(),
+    "a start that is no whole number": json.dumps({**ENTRY, "born": 1.5}).encode(),
+}
+
+
+class _Listed:
+    """A store that lists what it was given."""
+
+    def __init__(self, *values: bytes) -> None:
+        self.items = tuple(
+            KeyValue(key=f"servers/i-{index}", value=value, mod_revision=1, create_revision=1)
+            for index, value in enumerate(values)
+        )
+
+    async def list(self, prefix: str) -> Listing:
+        return Listing(revision=1, items=self.items)
+
+
+@pytest.mark.parametrize("value", FOREIGN.values(), ids=FOREIGN.keys())
+async def test_an_entry_of_another_writer_is_skipped_and_the_others_hold(value):
+    """Another program writes among the hosts' registrations. Were the whole list refused for it,
+    no task would start anywhere."""
+    directory = PlatformDirectory(store=_Listed(value, json.dumps(ENTRY).encode()))
+    assert [entry.id for entry in await directory.hosts()] == ["i-1"]
+
+
+# ------------------------------------------------------------------------- configuration
+
+ROUTE = {
+    "name": "r-1",
+    "host": "Nony24.example",
+    "prefix": "/q/",
+    "service": "pool",
+    "priority": 1,
+    "attempts": 3,
+    "slackFactor": 2.2,
+    "sloMs": 1200,
+    "advisor": {"decisionMs": 650, "perWorkerMs": 9.2, "validMs": 1500},
+}
+
+
+def configuration(*routes: Any, **fields: Any) -> bytes:
+    return json.dumps({"version": 7, "routes": list(routes), **fields}).encode()
+
+
+def test_a_configuration_is_a_table_of_routes():
+    table = decode_configuration(configuration(ROUTE, limits={"maxBodyBytes": 9}), revision=4)
+    assert (table.version, table.revision, table.limits.body_bytes) == (7, 4, 9)
+    route = table.match("nony24.EXAMPLE:80", "/q/x")
+    assert route is not None
+    queue = route.queue
+    assert (queue.priority, queue.attempts, queue.slack_factor) == (1, 3, 2.2)
+    assert queue.objective_s == 1.2
+    assert queue.advice is not None
+    assert queue.advice.duration_s(10) == pytest.approx(0.742)
+
+
+MATCHES = [
+    ("nony24.example", "/q/a", "r-1"),
+    ("nony24.example", "/q/long/a", "r-2"),
+    ("nony24.example", "/other", None),
+    ("else.example", "/q/a", None),
+]
+
+
+@pytest.mark.parametrize(("host", "path", "name"), MATCHES)
+def test_the_longest_prefix_of_the_host_wins(host, path, name):
+    longer = {**ROUTE, "name": "r-2", "prefix": "/q/long/"}
+    found = decode_configuration(configuration(ROUTE, longer), revision=1).match(host, path)
+    assert (found.queue.name if found else None) == name
+
+
+def test_a_route_that_is_not_understood_is_left_out_and_the_others_hold():
+    table = decode_configuration(configuration({"name": "x"}, 3, ROUTE), revision=1)
+    assert list(table.queues) == ["r-1"]
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"version":"x","routes":[]}', b'{"version":1}'])
+def test_what_is_no_configuration_is_refused_as_a_whole(value):
+    with pytest.raises(ConfigurationError):
+        decode_configuration(value, revision=1)
+
+
+# ------------------------------------------------------------------------- settings
+
+SETTINGS: dict[str, Any] = {
+    "nodeName": "edge-1",
+    "ip": "10.1.0.13",
+    "zone": "cm-doi",
+    "region": "chiang-mai",
+    "portRange": [7720, 7735],
+    "listen": {"front": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
+    "platform": {"addr": "10.200.1.7:8169", "historyS": 30},
+    "bounds": {"graceS": 5, "holdMaxMs": 4000, "status_s": 60},
+    "somethingNew": {"is": "ignored"},
+}
+
+
+def test_a_settings_file_is_read_with_unknown_fields_left_alone():
+    found = decode(SETTINGS)
+    assert found.cell.member == "edge-1"
+    assert found.cell.failure_domain == "cm-doi"
+    bounds = found.cell.bounds
+    assert (bounds.grace_s, bounds.task_lease_s, bounds.status_s) == (5.0, 4.0, 60.0)
+    assert bounds.history_s == 30.0
+    assert found.addresses.peers == "10.1.0.13:7720"
+    assert found.addresses.policy == ""
+
+
+BAD_SETTINGS = {
+    "nodeName": {"nodeName": 7},
+    "ip": {"ip": None},
+    "portRange": {"portRange": []},
+    "listen.front": {"listen": {"readiness": "10.1.0.13:8167"}},
+    "platform.addr": {"platform": {}},
+    "bounds.holdMaxMs": {"bounds": {"holdMaxMs": "long"}},
+}
+
+
+@pytest.mark.parametrize(("field", "change"), BAD_SETTINGS.items(), ids=BAD_SETTINGS.keys())
+def test_a_bad_field_of_the_settings_is_named(field, change):
+    with pytest.raises(SettingsFileError, match=field):
+        decode({**SETTINGS, **change})
