Split the dispatcher by job: order of waiting steps, questions, reservations

Waiting steps now know their own place and when it changes, what to ask the policy service next is a function of its own, and a reservation is turned into its order where reservations are.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
-import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, field
 
@@ -29,23 +26,15 @@
     OrderResult,
     Queue,
     Refusal,
-    StartOrder,
     StepId,
     TaskId,
 )
 from rhubarbferry.dispatch.placement import Placed, could_run, place
+from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.dispatch.tracker import Outcome, RunEnded, RunRefused, Tracker
-from rhubarbferry.dispatch.waiting import Order as Place
 from rhubarbferry.dispatch.waiting import WaitingSteps
 
-# A start must reach its host within this time of the host's clock, or it is refused there. So
-# an order that got no answer is settled soon: after this time the host can't carry it out.
-START_VALID_S = 1.5
-# One question names at most this many hosts; the policy service refuses longer ones.
-HOSTS_PER_QUESTION = 100
-# After a question that got no answer, before the next one for the same step.
-QUESTION_PAUSE_S = 0.3
 # A host that refused a start for its own state gets no new task for this long.
 REFUSED_PAUSE_S = 0.5
 # A host on which a task hung gets no new task for this long.
@@ -81,8 +70,6 @@
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
     _timed: dict[str, Job] = Factory(dict)
-    _turns: list[tuple[float, int, Step]] = Factory(list)
-    _numbers: Iterator[int] = Factory(itertools.count)
     _unsettled: dict[str, Job] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
@@ -215,7 +202,7 @@
             job.make_due(now, wall_s)
             self._open_steps(job, now)
         self._give_up_reservations(now)
-        self._reorder(now)
+        self.waiting.reorder(now)
         if self.holds.expire(now):
             # Any step may take the room that was kept.
             self.retry()
@@ -277,7 +264,9 @@
             orders += self._reserve(step, placed, now)
         if advice is not None:
             usable = [host for host in open_hosts if could_run(step, host)]
-            orders += self._questions(step, usable, now)
+            held = self.holds.hosts(step)
+            question = next_question(step, usable, self.tracker.hosts, held, now)
+            orders += [question] if question is not None else []
         if not step.waiting():
             self.waiting.discard(step)
         return orders
@@ -323,62 +312,15 @@
         if ready:
             checkpoint = step.gang_checkpoint()
             for run, ticket in ready:
-                orders.append(self._start(run, ticket, checkpoint, now))
+                host = self.tracker.hosts[run.host]
+                orders.append(reservations.redeem(run, host, ticket, checkpoint, now))
             self._note_start(step.job)
         return orders
 
-    def _start(self, run: Run, ticket: str, checkpoint: str | None, now: float) -> StartOrder:
-        host = self.tracker.hosts[run.host]
-        assert host.clock is not None
-        task = run.task
-        run.phase = RunPhase.ORDERED
-        run.ordered_at = now
-        run.deadline_s = host.clock.estimate(now) + START_VALID_S
-        host.held_until_s = max(host.held_until_s, run.deadline_s)
-        task.attempt = run.attempt
-        task.step.ever_started = True
-        return StartOrder(
-            host=host.id,
-            task=task.id,
-            attempt=run.attempt,
-            payload=task.step.job.req.payload,
-            deadline_s=run.deadline_s,
-            checkpoint=task.checkpoint if checkpoint is None else checkpoint,
-            ticket=ticket,
-        )
-
     def _look_at(self, step: Step, now: float) -> None:
         """Look at a step at the next decision, though it may wait for tickets only."""
         self._touched[step] = None
-        self.waiting.add(step, self._order(step, now))
-
-    def _questions(self, step: Step, usable: list[Host], now: float) -> list[Order]:
-        """Ask for what the step needs next: tickets for its reservations, else new hosts."""
-        approvals = step.approvals
-        cost = step.job.queue.advice
-        if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
-            return []
-        wanted = reservations.hosts_without_ticket(step, self.tracker.hosts, now)
-        if not wanted:
-            wanted = self._held_without_ticket(step, now)
-        if not wanted and step.waiting():
-            wanted = [host.id for host in usable if approvals.unknown(host.id)]
-        if not wanted:
-            return []
-        hosts = tuple(wanted[:HOSTS_PER_QUESTION])
-        approvals.asking.update(hosts)
-        return [AdviceOrder(step=step.id, hosts=hosts, cost=cost)]
-
-    def _held_without_ticket(self, step: Step, now: float) -> list[str]:
-        """Return the held hosts whose tickets have aged; new ones are there as room comes free."""
-        hosts = [
-            self.tracker.hosts[id] for id in self.holds.hosts(step) if id in self.tracker.hosts
-        ]
-        return [
-            host.id
-            for host in hosts
-            if not step.approvals.ticket(host.id, host.entry.incarnation, now)
-        ]
+        self.waiting.add(step, now)
 
     def _give_up_reservations(self, now: float) -> None:
         for run in reservations.overdue(self.tracker.hosts.values(), now):
@@ -519,24 +461,9 @@
     def _enqueue(self, step: Step, now: float) -> None:
         if step.ready_at is None or step.job.phase.final or step.done:
             return
-        self.waiting.add(step, self._order(step, now))
+        self.waiting.add(step, now)
         self._touched[step] = None
 
-    def _order(self, step: Step, now: float) -> Place:
-        job = step.job
-        found = job.standing(step, now)
-        if found.until < math.inf:
-            heapq.heappush(self._turns, (found.until, next(self._numbers), step))
-        place = (job.queue.priority, job.arrived_at, job.id, step.id.occurrence, step.id.step)
-        return (int(found.urgency), *place)
-
-    def _reorder(self, now: float) -> None:
-        """Move the steps whose urgency has changed with time."""
-        while self._turns and self._turns[0][0] < now:
-            _, _, step = heapq.heappop(self._turns)
-            if step in self.waiting:
-                self.waiting.add(step, self._order(step, now))
-
     def _note_start(self, job: Job) -> None:
         if not job.started:
             job.started = True
--- /dev/null
+++ b/rhubarbferry/dispatch/questions.py
@@ -0,0 +1,55 @@
+"""What to ask the policy service next for a step."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable, Mapping
+
+from rhubarbferry.dispatch import reservations
+from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.job import Step
+from rhubarbferry.dispatch.messages import AdviceOrder
+
+# One question names at most this many hosts; the policy service refuses longer ones.
+HOSTS_PER_QUESTION = 100
+# After a question that got no answer, before the next one for the same step.
+QUESTION_PAUSE_S = 0.3
+
+
+def next_question(
+    step: Step,
+    usable: Iterable[Host],
+    hosts: Mapping[str, Host],
+    held: Container[str],
+    now: float,
+) -> AdviceOrder | None:
+    """Return the question, or ``None`` when there is nothing to ask now.
+
+    :param usable: hosts that could run the step.
+    :param hosts: all hosts.
+    :param held: hosts that are held for the step.
+    """
+    approvals = step.approvals
+    cost = step.job.queue.advice
+    if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
+        return None
+    wanted = reservations.hosts_without_ticket(step, hosts, now)
+    if not wanted:
+        wanted = _held_without_ticket(step, hosts, held, now)
+    if not wanted and step.waiting():
+        wanted = [host.id for host in usable if approvals.unknown(host.id)]
+    if not wanted:
+        return None
+    asked = tuple(wanted[:HOSTS_PER_QUESTION])
+    approvals.asking.update(asked)
+    return AdviceOrder(step=step.id, hosts=asked, cost=cost)
+
+
+def _held_without_ticket(
+    step: Step, hosts: Mapping[str, Host], held: Container[str], now: float
+) -> list[str]:
+    """Return the held hosts whose tickets have aged; new ones are there as room comes free."""
+    return [
+        host.id
+        for host in hosts.values()
+        if host.id in held and not step.approvals.ticket(host.id, host.entry.incarnation, now)
+    ]
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -6,10 +6,14 @@
 
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase, Step
+from rhubarbferry.dispatch.messages import StartOrder
 
 # A reservation that has no ticket by then is given up: its room is wanted by others. Twice the
 # expected time of a question covers one that got no answer and was asked again.
 SLACK_S = 1.5
+# A start must reach its host within this time of the host's clock, or it is refused there. So
+# an order that got no answer is settled soon: after this time the host can't carry it out.
+START_VALID_S = 1.5
 
 
 def ticket(run: Run, hosts: Mapping[str, Host], now: float) -> str | None:
@@ -52,3 +56,27 @@
     advice = run.task.step.job.queue.advice
     longest = advice.duration_s(len(run.task.step.tasks)) if advice is not None else 0.0
     return run.ordered_at + 2 * longest + SLACK_S
+
+
+def redeem(run: Run, host: Host, ticket: str, checkpoint: str | None, now: float) -> StartOrder:
+    """Turn a reservation into the order that starts its task.
+
+    :param checkpoint: what all members of a gang resume from, ``None`` for the task's own.
+    """
+    assert host.clock is not None
+    task = run.task
+    run.phase = RunPhase.ORDERED
+    run.ordered_at = now
+    run.deadline_s = host.clock.estimate(now) + START_VALID_S
+    host.held_until_s = max(host.held_until_s, run.deadline_s)
+    task.attempt = run.attempt
+    task.step.ever_started = True
+    return StartOrder(
+        host=host.id,
+        task=task.id,
+        attempt=run.attempt,
+        payload=task.step.job.req.payload,
+        deadline_s=run.deadline_s,
+        checkpoint=task.checkpoint if checkpoint is None else checkpoint,
+        ticket=ticket,
+    )
--- a/rhubarbferry/dispatch/waiting.py
+++ b/rhubarbferry/dispatch/waiting.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import heapq
+import itertools
+import math
 from collections.abc import Iterator, Mapping
 
 from attrs import Factory, define
@@ -10,6 +12,7 @@
 
 from rhubarbferry.dispatch.job import Step
 
+# Urgency, priority, arrival, and what tells steps apart that came in together.
 Order = tuple[int, float, float, str, int, int]
 
 
@@ -28,9 +31,21 @@
 
     _classes: dict[int, SortedKeyList] = Factory(dict)
     _orders: dict[Step, Order] = Factory(dict)
-
-    def add(self, step: Step, order: Order) -> None:
-        """Add a step, or move it to a new place."""
+    _turns: list[tuple[float, int, Step]] = Factory(list)
+    _numbers: Iterator[int] = Factory(itertools.count)
+
+    def add(self, step: Step, now: float) -> None:
+        """Add a step, or move it to its present place."""
+        job = step.job
+        standing = job.standing(step, now)
+        order = (
+            int(standing.urgency),
+            job.queue.priority,
+            job.arrived_at,
+            job.id,
+            step.id.occurrence,
+            step.id.step,
+        )
         if self._orders.get(step) == order:
             return
         self.discard(step)
@@ -40,6 +55,15 @@
             steps = SortedKeyList(key=self._orders.__getitem__)
             self._classes[_size_class(step)] = steps
         steps.add(step)
+        if standing.until < math.inf:
+            heapq.heappush(self._turns, (standing.until, next(self._numbers), step))
+
+    def reorder(self, now: float) -> None:
+        """Move the steps whose urgency has changed with time."""
+        while self._turns and self._turns[0][0] < now:
+            _, _, step = heapq.heappop(self._turns)
+            if step in self._orders:
+                self.add(step, now)
 
     def discard(self, step: Step) -> None:
         """Remove a step if it is there."""
