--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -12,7 +12,7 @@
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
 from rhubarbferry.dispatch import reservations
-from rhubarbferry.dispatch.holds import Holds, deserves_room
+from rhubarbferry.dispatch.holds import Holds
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.hung import hung_runs
 from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
@@ -29,6 +29,7 @@
     StepId,
     TaskId,
 )
+from rhubarbferry.dispatch.objective import Urgency
 from rhubarbferry.dispatch.placement import Placed, could_run, place
 from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question
 from rhubarbferry.dispatch.succession import Succession
@@ -257,7 +258,7 @@
         placed = self._find_hosts(step, allowed)
         if placed:
             self.holds.drop(step)
-        elif step.waiting() and deserves_room(step, now):
+        elif self.waiting.urgency(step) is Urgency.IN_TIME and step.waiting():
             self._make_room(step, allowed, now)
         orders: list[Order] = []
         if placed or advice is not None:
--- a/rhubarbferry/dispatch/holds.py
+++ b/rhubarbferry/dispatch/holds.py
@@ -9,7 +9,6 @@
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase, Step
 from rhubarbferry.dispatch.messages import Sizes
-from rhubarbferry.dispatch.objective import Urgency
 from rhubarbferry.dispatch.placement import could_run, slots_on
 from rhubarbferry.dispatch.waiting import Order
 
@@ -209,8 +208,3 @@
         room = room.plus(run.task.step.req.room)
         victims.append(run)
     return _Share(victims=tuple(victims), wait_s=wait_s)
-
-
-def deserves_room(step: Step, now: float) -> bool:
-    """Tell whether others may have to give way to a step: it can still be done in time."""
-    return step.job.standing(step, now).urgency is Urgency.IN_TIME
--- a/rhubarbferry/dispatch/waiting.py
+++ b/rhubarbferry/dispatch/waiting.py
@@ -11,6 +11,7 @@
 from sortedcontainers import SortedKeyList
 
 from rhubarbferry.dispatch.job import Step
+from rhubarbferry.dispatch.objective import Urgency
 
 # Urgency, priority, arrival, and what tells steps apart that came in together.
 Order = tuple[int, float, float, str, int, int]
@@ -82,6 +83,11 @@
         """The place of each waiting step."""
         return self._orders
 
+    def urgency(self, step: Step) -> Urgency | None:
+        """Return what a waiting step can still gain, ``None`` for one that does not wait."""
+        order = self._orders.get(step)
+        return Urgency(order[0]) if order is not None else None
+
     def order(self, step: Step) -> Order:
         """Return the place of a step."""
         return self._orders[step]
