--- /dev/null
+++ b/tests/cell/test_owner_link.py
@@ -0,0 +1,120 @@
+"""What a process learns from the owner, and what it does when the owner is silent."""
+
+from __future__ import annotations
+
+import pytest
+from attrs import Factory, define
+
+from rhubarbferry.cell.members import CellView, Ownership
+from rhubarbferry.cell.owner_link import OWNER_PAUSE_S, PENDING_AGE_S, OwnerLink
+from rhubarbferry.cell.peers import AcceptedJob, Silence
+from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.test.fake_clock import FakeClock
+
+from .parts import member
+
+JOB = AcceptedJob(id="j", record=b"{}", revision=9, fence=5)
+
+
+@define
+class Peers:
+    """Stands in for calls to other processes."""
+
+    answer: JobPhase | Silence | None = None
+    asked: list[str] = Factory(list)
+    told: list[AcceptedJob] = Factory(list)
+
+    async def owned_phase(self, member, id, *, timeout_s):
+        self.asked.append(id)
+        return self.answer
+
+    async def job_accepted(self, member, job):
+        self.told.append(job)
+        return True
+
+    async def pending(self, member, queue):
+        self.asked.append(queue)
+        return 3
+
+
+@define
+class OwnTerm:
+    """Stands in for this process's own term."""
+
+    told: list[AcceptedJob] = Factory(list)
+
+    def pending(self, queue):
+        return 7
+
+    def phase(self, id):
+        return JobPhase.RUNNING
+
+    def accepted(self, job):
+        self.told.append(job)
+        return True
+
+
+def link(peers: Peers, *, owner: str = "other", fence: int = 5, term=None) -> OwnerLink:
+    view = CellView()
+    if owner:
+        view.ownership = Ownership(owner=member(owner), fence=fence, lease_id=1)
+    return OwnerLink(
+        clock=FakeClock(), own=member("own"), view=view, peers=peers, term=lambda: term
+    )
+
+
+@pytest.mark.parametrize("phase", [JobPhase.QUEUED, JobPhase.COMPLETE, None])
+async def test_the_owner_answers_for_the_jobs_that_it_knows(phase):
+    assert await link(Peers(answer=phase)).phase("j") is phase
+
+
+async def test_an_owner_that_is_silent_is_not_asked_again_at_once():
+    """The owner has been frozen. Each client that asks for a state would first wait for the owner
+    in vain, and hundreds ask."""
+    peers = Peers(answer=Silence(reason="no answer"))
+    found = link(peers)
+    assert [await found.phase("j") for _ in range(3)] == [None] * 3
+    assert peers.asked == ["j"]
+    found.view.ownership = Ownership(owner=member("next"), fence=6, lease_id=2)
+    await found.phase("j")
+    assert peers.asked == ["j"] * 2
+    await found.clock.advance(OWNER_PAUSE_S)
+    await found.phase("j")
+    assert peers.asked == ["j"] * 3
+
+
+async def test_without_an_owner_nobody_is_asked():
+    peers = Peers(answer=JobPhase.RUNNING)
+    assert await link(peers, owner="").phase("j") is None
+    assert peers.asked == []
+
+
+async def test_the_own_term_is_asked_without_a_call():
+    peers = Peers()
+    term = OwnTerm()
+    found = link(peers, owner="own", term=term)
+    assert await found.phase("j") is JobPhase.RUNNING
+    assert await found.pending("queue") == 7
+    found.accepted(JOB)
+    assert (term.told, peers.asked, peers.told) == ([JOB], [], [])
+
+
+@pytest.mark.parametrize(("fence", "told"), [(5, [JOB]), (6, [])])
+async def test_only_the_owner_that_the_job_was_accepted_under_is_told(fence, told):
+    """The ownership has changed hands since the job was accepted. The new owner finds it on record
+    and must treat it as inherited, as the one before may have started it."""
+    peers = Peers()
+    found = link(peers, fence=fence)
+    found.accepted(JOB)
+    await found.clock.advance(0.0)
+    assert peers.told == told
+
+
+async def test_counts_are_asked_for_now_and_then_only():
+    peers = Peers()
+    found = link(peers)
+    assert [await found.pending("queue") for _ in range(3)] == [3, 3, 3]
+    assert peers.asked == ["queue"]
+    await found.clock.advance(PENDING_AGE_S + 0.01)
+    await found.pending("queue")
+    assert peers.asked == ["queue"] * 2
--- /dev/null
+++ b/tests/cell/test_roster.py
@@ -0,0 +1,81 @@
+"""The record of the hosts that owners have given orders to."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.context import OwnershipLost, Tenure
+from rhubarbferry.cell.roster import Roster
+from rhubarbferry.core.lease import Lease
+from rhubarbferry.dispatch.succession import RosterEntry
+from rhubarbferry.ports.store import Put, StoreUnclear, Txn
+
+OPEN = RosterEntry(id="a", address="a:1", incarnation=1, service="pool")
+CLOSED = RosterEntry(id="b", address="b:1", incarnation=2, service="pool", outstanding=("j",))
+IDLE = RosterEntry(id="c", address="c:1", incarnation=3, service="pool", outstanding=())
+
+
+async def take_ownership(store) -> int:
+    return (await store.commit(Txn(put=(Put(key=keys.OWNER, value=b"{}"),)))).revision
+
+
+async def roster(store, *, fence: int = 0) -> Roster:
+    lease = Lease(id=7, incarnation=1, until=time.monotonic() + 60, margin_s=0.0)
+    tenure = Tenure(
+        keeper=SimpleNamespace(held=lambda: lease),
+        lease_id=7,
+        fence=fence or await take_ownership(store),
+    )
+    found = Roster(store=store, tenure=tenure)
+    found.load(await store.get(keys.ROSTER))
+    return found
+
+
+async def test_the_next_owner_reads_what_this_one_has_written(store):
+    first = await roster(store)
+    entries = {entry.id: entry for entry in (OPEN, CLOSED, IDLE)}
+    assert await first.update(entries)
+    second = await roster(store)
+    assert second.entries == entries
+    assert [entry.may_run("j") for entry in second.entries.values()] == [True, True, False]
+
+
+async def test_the_same_roster_is_not_written_twice(store, stand_in):
+    found = await roster(store)
+    assert await found.update({"a": OPEN})
+    calls = stand_in.calls["txn"]
+    assert await found.update({"a": OPEN})
+    assert stand_in.calls["txn"] == calls
+
+
+async def test_a_former_owner_can_not_open_a_host(store):
+    """The ownership has changed hands and the former owner does not know yet. Could it open a host
+    on record, it would send orders to a host that its successor takes for idle."""
+    found = await roster(store)
+    assert await found.update({"b": CLOSED})
+    await take_ownership(store)
+    with pytest.raises(OwnershipLost):
+        await found.update({"b": OPEN})
+    assert not found.tenure.holds()
+
+
+async def test_a_write_whose_answer_was_lost_is_found_and_not_taken_for_anothers(store, stand_in):
+    found = await roster(store)
+    stand_in.trouble.lose_every = 1
+    with pytest.raises(StoreUnclear):
+        await found.update({"a": OPEN})
+    stand_in.trouble.lose_every = 0
+    assert not await found.update({"a": OPEN, "b": CLOSED})
+    assert found.entries == {"a": OPEN}
+    assert await found.update({"a": OPEN, "b": CLOSED})
+
+
+def test_rows_of_an_earlier_form_are_read_as_open():
+    found = Roster(store=None, tenure=None)
+    row = b'[{"id":"a","address":"a:1","incarnation":1,"service":"pool"}]'
+    found.load(SimpleNamespace(mod_revision=3, value=row))
+    assert found.entries == {"a": OPEN}
