Don't wait for room of tasks that last

Found by reading: a task that lasts reports all of its work as done once it is up, so a hold took it for about to end and kept its host free of other tasks, for a gang that could never start there. A step that lasts has no time by which it must start, so its hold had none either. Two rows of a test failed before.

--- a/rhubarbferry/dispatch/holds.py
+++ b/rhubarbferry/dispatch/holds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, frozen
@@ -118,7 +119,8 @@
         if step in self._holds or step in self._not_before:
             return []
         held = {id for hold in self._holds.values() for id in hold.slots}
-        drain_s = max(DRAIN_S, step.job.standing(step, now).until - now)
+        slack_s = step.job.standing(step, now).until - now
+        drain_s = max(DRAIN_S, slack_s) if slack_s < math.inf else DRAIN_S
         offers = [_offer(step, host, drain_s, now) for host in hosts if host.id not in held]
         offers = sorted((offer for offer in offers if offer.slots > 0), key=lambda o: o.cost)
         wanted = len(step.waiting())
@@ -176,6 +178,9 @@
     """Return about how long a run will still take; it gets nowhere as long as it is stopping."""
     if run.stopping:
         return 0.0
+    if run.task.step.req.lasting:
+        # It reports all of its work as done once it is up, and goes on until it is cancelled.
+        return math.inf
     spent_s = now - run.ordered_at
     if run.percent >= TELLING_PERCENT:
         return spent_s * (100.0 - run.percent) / run.percent
--- a/tests/dispatch/test_holds.py
+++ b/tests/dispatch/test_holds.py
@@ -98,6 +98,21 @@
     assert stops(world) == []
 
 
+@pytest.mark.parametrize("lasting", [True, False])
+def test_room_of_tasks_that_last_is_not_waited_for(lasting):
+    """Tasks that last report all of their work as done, and stay. Taken for about to end, their
+    hosts would be kept free of other tasks for a gang that can never start there."""
+    world = World("a", "b")
+    for order in full_of(world, lasting=True):
+        world.hosts[order.host].run(order, percent=100.0)
+    world.now += 0.1
+    world.hear()
+    gang = step(4, millicores=2 * CORES, gang=True, lasting=lasting)
+    world.add(job("gang", gang, queue=WIDE, arrived_at=10.0))
+    world.decide()
+    assert not world.dispatcher.holds
+
+
 def test_a_job_that_can_no_longer_be_done_in_time_makes_nobody_give_way():
     world = World("a", "b")
     full_of(world)
