Hold the cancellation back in the test of failed appends

Cause: the test sent a second request right after the first and expected it to be refused, as the key was not free yet. The clock of the test lets the upkeep that frees keys run each 10 ms, and on a busy machine that much passes between two lines; then the key is rightly free and the second request is committed. It is as strict: before the cancellation the request must be refused, after it committed.

--- a/tests/scheduler/test_intents.py
+++ b/tests/scheduler/test_intents.py
@@ -25,9 +25,13 @@
 
 
 class FakeClock:
+    """A clock whose sleeps are short, and last while ``goes_on`` is not set."""
+
     def __init__(self) -> None:
         self.now = 1000.0
         self.turns = 0
+        self.goes_on = asyncio.Event()
+        self.goes_on.set()
 
     def monotonic(self) -> float:
         return self.now
@@ -38,6 +42,7 @@
     async def sleep(self, seconds: float) -> None:
         self.turns += 1
         await asyncio.sleep(0.01)
+        await self.goes_on.wait()
 
 
 class Bench:
@@ -185,6 +190,9 @@
     """
     registry = await bench.start()
     bench.log.faults, bench.log.stands = [fault], stands
+    # The cancellation that frees the key waits for its turn; on a busy machine 10 ms pass between
+    # two lines of this test, and it would come before the second request.
+    bench.clock.goes_on.clear()
     reply = await registry.begin(begin_request())
     assert reply.verdict == verdict
     if verdict == V.NOT_OWNER:
@@ -194,6 +202,7 @@
     if isinstance(fault, LogUnclear):
         assert (await registry.begin(begin_request("q2"))).verdict == V.REFUSED
     bench.log.stands = False
+    bench.clock.goes_on.set()
     turns = bench.clock.turns
     await eventually(lambda: bench.clock.turns > turns + 2)
     assert (await registry.begin(begin_request("q2"))).verdict == V.COMMITTED
