Hand over to a named successor, and replace an owner as soon as it is dead

A planned stop removed its key, and the next owner had first to hear of that, have its turn, write its key and read what is on record: five answers of the store one after the other, at 0.35 s each. A killed owner's key stayed until its lease had ended.

Ruled out: adoption of the hosts (0.11 s), the policy service, too little room.

Change: an owner that stops asks another process to replace its key while it still decides, near ones first and of these the one that has registered last, which a rolling restart will not stop next. The successor begins without waiting for its watch, and reads all that is on record at once. Each process keeps an eye on its connection to the owner; when that ends and the owner's address refuses connections, while another process can be reached, it replaces the key in its turn.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -10,7 +10,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import Surroundings, Tenure
 from rhubarbferry.cell.following import PrefixFollower
-from rhubarbferry.cell.members import Member, Ownership, encode_member, rank
+from rhubarbferry.cell.members import Member, Ownership, encode_member, rank, successors
 from rhubarbferry.cell.term import Term
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.ports.store import (
@@ -31,6 +31,8 @@
 TURN_S = 0.12
 # How long a store that serves this process takes at most, when it is slow.
 REACH_S = 0.45
+# A planned stop asks this many others to take over, before it just removes the owner's key.
+SUCCESSORS_ASKED = 2
 # After a term that ended with a failure of this program, others get their turn first.
 FAILURE_PAUSE_S = 1.0
 
@@ -47,6 +49,8 @@
     _draining: bool = False
     _running: asyncio.Task[None] | None = None
     _follower: PrefixFollower = field(init=False)
+    _won: asyncio.Event = field(factory=asyncio.Event)
+    _handed_over: int = 0
     _registered: int = 0
     _free_since: float | None = None
     _election: int = 0
@@ -67,6 +71,8 @@
         """Hand over at once, for a planned stop."""
         self._draining = True
         lease = self.around.keeper.held()
+        if self.term is not None:
+            await self._hand_over(self.term)
         if self._running is not None:
             self._running.cancel()
             await asyncio.gather(self._running, return_exceptions=True)
@@ -97,10 +103,33 @@
             return False
         self.around.log.emit("owner.asked_to_take_over", fence=fence)
         try:
-            return await self._write_key(lease, replaces=fence) is not None
+            ownership = await self._write_key(lease, replaces=fence)
         except StoreError as exc:
             self.around.log.emit("owner.not_replaced", reason=str(exc)[:200])
             return False
+        if ownership is None:
+            return False
+        # The watch shows it too, by one more answer of the store in which nobody would decide.
+        self.around.view.ownership = ownership
+        self._won.set()
+        return True
+
+    async def _hand_over(self, term: Term) -> None:
+        """Let another process replace the owner's key while this one still decides.
+
+        Were the key removed first, nothing would start until another process has heard of it,
+        has had its turn and has written its own: 5 s of a rolling restart beside a slow store.
+        """
+        fence = term.tenure.fence
+        for member in successors(self.around.own, self.around.view)[:SUCCESSORS_ASKED]:
+            if not term.tenure.holds():
+                return
+            taken = await self.around.peers.take_over(member, fence)
+            self.around.log.emit("owner.hands_over", fence=fence, to=member.name, outcome=taken)
+            if taken:
+                term.tenure.end(f"handed over to {member.name}")
+                self._handed_over = fence
+                return
 
     async def _step(self) -> None:
         lease = self.around.keeper.held()
@@ -130,7 +159,17 @@
             await self._watch(WATCH_S)
 
     async def _watch(self, wait_s: float) -> None:
-        match await self._follower.next(wait_s):
+        """Take in what changes; return early when this process has become the owner."""
+        change = asyncio.ensure_future(self._follower.next(wait_s))
+        won = asyncio.ensure_future(self._won.wait())
+        try:
+            await asyncio.wait({change, won}, return_when=asyncio.FIRST_COMPLETED)
+            if not change.done():
+                return
+        finally:
+            change.cancel()
+            won.cancel()
+        match change.result():
             case Listing(items=items, revision=revision):
                 self.around.view.replace(items)
                 self._election = revision
@@ -189,6 +228,7 @@
         tenure = Tenure(keeper=self.around.keeper, lease_id=lease.id, fence=ownership.fence)
         term = Term(around=self.around, tenure=tenure)
         self.around.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
+        self._won.clear()
         self.term = term
         self._running = asyncio.create_task(term.run())
         failed = False
@@ -212,7 +252,7 @@
     async def _give_up(self, term: Term) -> None:
         tenure = term.tenure
         self.around.log.emit("term.ended", fence=tenure.fence, reason=tenure.ended or "left")
-        if await self._key_removed(term):
+        if tenure.fence == self._handed_over or await self._key_removed(term):
             return
         # The key may still be there, under a lease that this process goes on to extend: then
         # nobody would do the work. Without the lease the key ends within its time.
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -59,16 +59,19 @@
     async def load(self) -> None:
         """Read what is on record.
 
+        The two listings are read at once. A job that was accepted under an earlier owner had its
+        state when the owner's key was written, and nobody but this owner writes states of its
+        jobs after that.
+
         :raises StoreError: when it can't be read.
         :raises OwnershipLost: when another process owns the work.
         """
         store = self.ctx.around.store
-        states = {
-            item.key.removeprefix(keys.STATES): item
-            for item in (await store.list(keys.STATES)).items
-        }
-        found = await self._follower.next(WATCH_S)
+        # An earlier try may have got one of the two.
+        self._follower.restart()
+        stored, found = await asyncio.gather(store.list(keys.STATES), self._follower.next(WATCH_S))
         assert isinstance(found, Listing)
+        states = {item.key.removeprefix(keys.STATES): item for item in stored.items}
         self._take_listing(found, states)
         for id, item in states.items():
             self._note_if_ended(id, item)
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -57,9 +57,13 @@
 
 @define(kw_only=True, eq=False)
 class CellView:
-    """The members and the owner, kept up to date from listings and watches."""
+    """The members and the owner, kept up to date from listings and watches.
+
+    :ivar registered: the store's revision at which each member has registered.
+    """
 
     members: dict[str, Member] = field(factory=dict)
+    registered: dict[str, int] = field(factory=dict)
     ownership: Ownership | None = None
 
     def replace(self, items: Iterable[KeyValue]) -> None:
@@ -86,6 +90,7 @@
         elif kv.key.startswith(keys.MEMBERS):
             member = decode_member(kv.value)
             self.members[member.name] = member
+            self.registered[member.name] = kv.mod_revision
 
     def _delete(self, key: str) -> None:
         if key == keys.OWNER:
@@ -98,6 +103,24 @@
 ALIKE_S = 0.02
 
 
+def successors(own: Member, view: CellView) -> list[Member]:
+    """Return the other members in the order in which they are asked to take over as planned.
+
+    Those near the store come first. Among them goes first who has registered last: in a rolling
+    restart it is the one that will not be stopped next, and each further change of the owner
+    costs a pause in which nothing starts.
+    """
+
+    def place(member: Member) -> tuple[int, int]:
+        return _distance(member), -view.registered.get(member.name, 0)
+
+    return sorted((m for m in view.members.values() if m.name != own.name), key=place)
+
+
+def _distance(member: Member) -> int:
+    return int(member.store_s / ALIKE_S)
+
+
 def rank(own: Member, members: Iterable[Member], *, seed: int) -> int:
     """Return the place of a member among those that may become owner next.
 
@@ -110,7 +133,7 @@
 
     def place(member: Member) -> tuple[int, int]:
         weight = xxhash.xxh64_intdigest(member.name.encode(), seed=seed & 0xFFFFFFFF)
-        return int(member.store_s / ALIKE_S), weight
+        return _distance(member), weight
 
     mine = place(own)
     return sum(1 for member in members if member.name != own.name and place(member) < mine)
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 from typing import Protocol
 
 from attrs import frozen
@@ -20,8 +21,8 @@
 )
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.workers import Approvals, PolicyService, WorkerError, WorkerSilent
-from rhubarbferry.rpc.connection import Timing
-from rhubarbferry.rpc.errors import PeerUnreachable, RpcError
+from rhubarbferry.rpc.connection import Connection, Timing
+from rhubarbferry.rpc.errors import PeerRefused, PeerUnreachable, RpcError
 from rhubarbferry.rpc.gen.ttypes import Acceptance as AcceptanceWord
 from rhubarbferry.rpc.gen.ttypes import (
     ApprovalReply,
@@ -57,6 +58,8 @@
 NOTICE_S = 0.5
 # The other process asks the store first, which may take 0.45 s.
 REACH_S = 0.6
+# The other process writes the owner's key, which takes a slow store 0.4 s; both ways are added.
+TAKE_OVER_S = 1.2
 # Both ways between regions, and the wait for a turn in the process that asks.
 HOP_S = 0.4
 
@@ -93,6 +96,14 @@
     reason: str
 
 
+class Reach(Enum):
+    """What comes of an attempt to connect to another process."""
+
+    CONNECTED = auto()
+    REFUSED = auto()
+    SILENT = auto()
+
+
 class OwnedWork(Protocol):
     """What the owner's term answers, asked in its own process or by another."""
 
@@ -326,13 +337,36 @@
                 member.address,
                 "take_over",
                 TakeOverRequest(fence=fence),
-                timeout_s=PENDING_S,
+                timeout_s=TAKE_OVER_S,
                 region=member.region,
             )
         except RpcError:
             return False
         return reply.taken
 
+    async def until_lost(self, member: Member) -> None:
+        """Return when there is no connection to another process, or none any more."""
+        try:
+            await self._pool.until_lost(member.address, region=member.region)
+        except PeerUnreachable:
+            return
+
+    async def reach(self, member: Member) -> Reach:
+        """Try to connect to another process anew."""
+        try:
+            conn = await Connection.open(
+                service=PEER,
+                address=member.address,
+                timing=PEER_TIMING,
+                peer_region=member.region,
+            )
+        except PeerRefused:
+            return Reach.REFUSED
+        except PeerUnreachable:
+            return Reach.SILENT
+        await conn.close()
+        return Reach.CONNECTED
+
     async def submit(self, member: Member, record: JobRecord, *, timeout_s: float) -> Accepted:
         """Let another process accept a job."""
         req = RelayedSubmit(
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -140,8 +140,10 @@
         while True:
             self.tenure.check()
             try:
-                self._roster.load(await self.around.store.get(keys.ROSTER))
-                await self._inbox.load()
+                roster, _ = await asyncio.gather(
+                    self.around.store.get(keys.ROSTER), self._inbox.load()
+                )
+                self._roster.load(roster)
                 break
             except StoreError as exc:
                 self.around.log.emit("term.not_loaded", reason=str(exc))
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -20,6 +20,7 @@
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member
 from rhubarbferry.cell.owner_link import OwnerLink
+from rhubarbferry.cell.owner_watch import OwnerWatch
 from rhubarbferry.cell.peers import PeerClient, PeerServer
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.platform.client_api import ClientApi
@@ -117,6 +118,14 @@
             owner=owner,
             reached=self.keeper.fresh,
         )
+        self.owner_watch = OwnerWatch(
+            clock=self.clock,
+            log=self.log,
+            own=own,
+            view=self.view,
+            peers=self.peers,
+            replace=self.candidate.take_over,
+        )
         self.peer_server = PeerServer(
             clock=self.clock,
             jobs=acceptance,
@@ -156,6 +165,7 @@
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self.keeper.run()),
             asyncio.create_task(self.candidate.run()),
+            asyncio.create_task(self.owner_watch.run()),
             asyncio.create_task(self._follow_settings()),
         ]
         sockets = [(health, health_socket), (self.api, client_socket)]
--- a/rhubarbferry/rpc/connection.py
+++ b/rhubarbferry/rpc/connection.py
@@ -14,6 +14,7 @@
     CallRejected,
     CallTimeout,
     CallUnclear,
+    PeerRefused,
     PeerSilent,
     PeerUnreachable,
     RpcError,
@@ -75,6 +76,7 @@
         self._bytes_out = BYTES_OUT.labels(peer_region)
         self._heard = asyncio.get_running_loop().time()
         self.closed = False
+        self._lost = asyncio.Event()
         self._tasks = [
             asyncio.create_task(self._read()),
             asyncio.create_task(self._beat()),
@@ -86,12 +88,15 @@
     ) -> Connection:
         """Connect to ``address``.
 
-        :raises PeerUnreachable: when that fails or takes too long.
+        :raises PeerRefused: when nothing listens there.
+        :raises PeerUnreachable: when that fails otherwise or takes too long.
         """
         host, port = split_address(address)
         try:
             async with asyncio.timeout(timing.connect_s):
                 reader, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError as exc:
+            raise PeerRefused(f"nothing listens at {address}") from exc
         except (OSError, TimeoutError) as exc:
             raise PeerUnreachable(f"cannot connect to {address}: {exc or 'timeout'}") from exc
         return cls(
@@ -128,6 +133,10 @@
             raise CallRejected(reply.error)
         return reply.value
 
+    async def until_lost(self) -> None:
+        """Return when the connection has ended, for whatever reason."""
+        await self._lost.wait()
+
     async def _read(self) -> None:
         error: RpcError = CallUnclear("the peer closed the connection")
         try:
@@ -166,6 +175,7 @@
 
     def _fail(self, error: RpcError) -> None:
         self.closed = True
+        self._lost.set()
         for fut in self._waiting.values():
             if not fut.done():
                 fut.set_exception(error)
--- a/rhubarbferry/rpc/errors.py
+++ b/rhubarbferry/rpc/errors.py
@@ -11,6 +11,10 @@
     """The call was never sent: it had no effect. Look up the owner again, then retry."""
 
 
+class PeerRefused(PeerUnreachable):
+    """Nothing listens at the address: the process there has ended, or has not begun."""
+
+
 class CallUnclear(RpcError):
     """Sent, but no reply will come: it may have had effect. Ask before repeating."""
 
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -22,7 +22,6 @@
 LOOK_S = 0.005
 PAGE_ITEMS = 500
 MAX_ENTRIES = 32
-ANSWER_S = 0.002
 
 
 @define(kw_only=True, eq=False)
@@ -33,6 +32,7 @@
     :param over_rate: every call is turned away with 429.
     :param lose_every: of so many writes one is carried out and not answered; 0 for none.
     :param late_s: such a write is carried out only after this time.
+    :param answer_s: seconds that each answer takes.
     :param no_history: watches are told that their history is gone.
     :param deaf: watches hear of no change, and are answered with the present revision.
     """
@@ -41,6 +41,7 @@
     over_rate: bool = False
     lose_every: int = 0
     late_s: float = 0.0
+    answer_s: float = 0.002
     no_history: bool = False
     deaf: bool = False
 
@@ -87,7 +88,7 @@
 
     async def _enter(self, call: str) -> Response | None:
         self.calls[call] = self.calls.get(call, 0) + 1
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(self.trouble.answer_s)
         self._expire()
         if self.trouble.over_rate:
             return Response(status_code=429)
--- a/tests/cell/stage.py
+++ b/tests/cell/stage.py
@@ -211,10 +211,15 @@
             await asyncio.sleep(0.05)
         raise AssertionError("nobody owns the work")
 
-    def owner(self) -> Member:
+    def owned_key_name(self) -> str:
+        """Return the name that the owner's key holds, empty for none."""
         stored = self.store.engine.get("cell/control/owner")
-        assert stored is not None
-        return self.members[json.loads(stored.kv.value)["name"]]
+        return json.loads(stored.kv.value)["name"] if stored is not None else ""
+
+    def owner(self) -> Member:
+        name = self.owned_key_name()
+        assert name
+        return self.members[name]
 
     def runs(self) -> list:
         return [run for worker in self.workers.values() for run in worker.history]
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -14,6 +14,8 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
 
+# By then each process has heard of all others.
+ACQUAINTED_S = 1.0
 NAMES = ("one", "two", "three")
 
 
@@ -114,6 +116,34 @@
     stage.assert_nothing_twice()
 
 
+async def test_an_owner_hands_over_before_it_stops_to_decide(stage):
+    """A process is stopped for maintenance beside a store that takes 0.35 s for each answer. Were
+    its key removed before the next owner is found, nothing would start for four such answers and
+    jobs of a second would be late."""
+    owner = stage.owner()
+    other = next(member for member in stage.members.values() if member is not owner)
+    await asyncio.sleep(ACQUAINTED_S)
+    stage.store.trouble.answer_s = 0.35
+    owner.signal(signal.SIGTERM)
+    assert await asyncio.wait_for(owner.child.wait(), 8.0) == 0
+    (ended,) = owner.events("term.ended")
+    assert ended["reason"].startswith("handed over to ")
+    begun = [line for member in stage.members.values() for line in member.events("term.loaded")]
+    assert len(begun) == 2
+    assert max(line["at"] for line in begun) - ended["at"] < 0.8
+    assert await stage.submit(other, ids(1)[0]) == 200
+
+
+async def test_a_killed_owner_is_replaced_before_its_lease_has_ended(stage):
+    """The owner crashes. Its key stays for 1.5 s, in which nothing would start; but its address
+    refuses connections at once."""
+    owner = stage.owner()
+    await asyncio.sleep(ACQUAINTED_S)
+    owner.signal(signal.SIGKILL)
+    await asyncio.sleep(0.9)
+    assert stage.owned_key_name() not in ("", owner.name)
+
+
 async def test_acknowledged_jobs_outlive_all_processes(stage):
     """All processes are killed right after jobs were acknowledged, as when all power fails.
     A user who was told that his job is accepted must not have to hand it in again."""
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from rhubarbferry.cell.members import decode_member, encode_member, rank
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.members import CellView, decode_member, encode_member, rank, successors
+from rhubarbferry.ports.store import KeyValue
 
 from .parts import member
 
@@ -36,6 +38,23 @@
     assert first == set("abcd")
 
 
+def test_a_planned_stop_asks_near_processes_first_and_of_these_the_latest():
+    """All processes are restarted in turn. One that has not been restarted yet will be stopped
+    soon, and would hand over again at once."""
+    view = CellView()
+    rows = [("a", NEAR, 1), ("b", NEAR, 9), ("c", FAR, 12), ("own", NEAR, 20)]
+    view.replace(
+        KeyValue(
+            key=keys.MEMBERS + name,
+            value=encode_member(member(name, store_s=store_s)),
+            mod_revision=revision,
+            create_revision=revision,
+        )
+        for name, store_s, revision in rows
+    )
+    assert [each.name for each in successors(member("own"), view)] == ["b", "a", "c"]
+
+
 def test_a_member_reads_back_as_written():
     one = member("a", store_s=0.012)
     assert decode_member(encode_member(one)) == one
