--- a/rhubarbferry/bench/day_work.py
+++ b/rhubarbferry/bench/day_work.py
@@ -87,6 +87,16 @@
     share: float
 
 
+@frozen(kw_only=True, slots=True)
+class HostsSlow:
+    """A share of the hosts works ``times`` as long for a while, and goes on to answer."""
+
+    at_s: float
+    for_s: float
+    share: float
+    times: float
+
+
 @frozen(kw_only=True, slots=True)
 class Pause:
     """Nobody decides for a while, as when the owner of the work is being replaced."""
@@ -113,6 +123,7 @@
     bursts: tuple[Burst, ...] = ()
     losses: tuple[HostsLost, ...] = ()
     pauses: tuple[Pause, ...] = ()
+    slow: tuple[HostsSlow, ...] = ()
 
 
 @frozen(kw_only=True, slots=True)
@@ -286,5 +297,13 @@
         bursts=(Burst(at_s=15, for_s=8, times=1.3),),
     ),
     "takeovers": evolve(CALM, pauses=(Pause(at_s=10, for_s=3), Pause(at_s=35, for_s=6))),
+    "hosts slow": evolve(
+        CALM,
+        slow=(
+            HostsSlow(at_s=8, for_s=6, share=0.08, times=6.0),
+            HostsSlow(at_s=30, for_s=8, share=0.17, times=6.5),
+        ),
+        bursts=(Burst(at_s=30, for_s=4, times=1.3),),
+    ),
     "overload": evolve(CALM, bursts=(Burst(at_s=0, for_s=60, times=1.6),)),
 }
--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -51,6 +51,8 @@
 RESTORE_S = 0.1
 # The hosts that may run a step hold it this many times over when they are empty.
 ROOM_FOR_STEP = 1.3
+# Times of one event, worked out in two ways, differ by less.
+SAME_TIME_S = 1e-6
 WINDOW_S = 2.0
 WORST_WINDOWS = 2
 # Jobs go on for this long after the last has come in.
@@ -71,6 +73,7 @@
     speed: float
     running: dict[Run, float] = Factory(dict)
     begun: dict[Run, float] = Factory(dict)
+    ends_as: dict[Run, EndKind] = Factory(dict)
     ended: list[EndedTask] = Factory(list)
     count: int = 0
     dead: bool = False
@@ -139,6 +142,12 @@
             for id in lost:
                 self._at(loss.at_s, partial(self._kill, id))
                 self._at(loss.at_s + loss.for_s, partial(self._revive, id))
+        for slow in self.day.slow:
+            count = round(slow.share * len(self._hosts))
+            chosen = self._rng(f"slow {slow.at_s}").sample(sorted(self._hosts), count)
+            for id in chosen:
+                self._at(slow.at_s, partial(self._change_speed, id, 1 / slow.times))
+                self._at(slow.at_s + slow.for_s, partial(self._change_speed, id, slow.times))
         self._tick()
 
     def _add_host(self, index: int) -> None:
@@ -205,6 +214,26 @@
         self._dispatcher.host_listed(host.entry, now=self.now)
         self._heard(id)
 
+    def _change_speed(self, id: str, times: float) -> None:
+        """Let a host work faster or slower; gangs with a member there go at its pace."""
+        self._hosts[id].speed *= times
+        steps = {(run[0].job, run[0].step) for run in self._hosts[id].running}
+        for host in self._hosts.values():
+            for run in list(host.running):
+                gang = self._arrivals[run[0].job].req.steps[run[0].step].gang
+                if host.entry.id == id or (gang and (run[0].job, run[0].step) in steps):
+                    self._stretch(host, run, 1 / times)
+
+    def _stretch(self, host: _Host, run: Run, times: float) -> None:
+        """Let what is left of a run take ``times`` as long; what is done of it stays."""
+        begun, end = host.begun[run], host.running[run]
+        done = (self.now - begun) / max(1e-9, end - begun)
+        left = (end - self.now) * times
+        host.running[run] = self.now + left
+        host.begun[run] = self.now - left * done / max(1e-9, 1 - done)
+        how = host.ends_as[run]
+        self._at(self.now + left, lambda: self._end_if_due(host, run, how))
+
     def _start(self, order: StartOrder) -> None:
         host = self._hosts[order.host]
         if host.dead:
@@ -221,8 +250,8 @@
             length *= rng.random()
         host.begun[run] = self.now
         host.running[run] = self.now + length
-        how = EndKind.FAILED if fails else EndKind.DONE
-        self._at(self.now + length, lambda: self._end(host, run, how))
+        how = host.ends_as[run] = EndKind.FAILED if fails else EndKind.DONE
+        self._at(self.now + length, lambda: self._end_if_due(host, run, how))
         self._at(
             self.now + WAY_S,
             lambda: self._dispatcher.start_answered(
@@ -240,6 +269,11 @@
         hosts = [task.run.host for task in step.tasks if task.run is not None]
         return min(self._hosts[id].speed for id in hosts)
 
+    def _end_if_due(self, host: _Host, run: Run, how: EndKind) -> None:
+        """End a run, unless it takes longer or shorter by now and has another event for its end."""
+        if run in host.running and abs(host.running[run] - self.now) < SAME_TIME_S:
+            self._end(host, run, how)
+
     def _end(self, host: _Host, run: Run, how: EndKind, checkpoint: str = "") -> None:
         if run not in host.running:
             return
