Slow filling tasks while those that serve users beside them are past their goal

Cause: a step that fills is placed beside lasting tasks without taking processor room, and nothing looked at the tail latency that hosts report of those.

A host that is slowing gets no more filling.

--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -30,6 +30,7 @@
     EndKind,
     HostEntry,
     HostReport,
+    Order,
     RunningTask,
     Sizes,
     Started,
@@ -335,7 +336,7 @@
         self._dispatcher.dirty.clear()
         self._dispatcher.notes.clear()
 
-    def _carry_out(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
+    def _carry_out(self, order: Order) -> None:
         match order:
             case StartOrder():
                 self._at(self.now + WAY_S, lambda: self._start(order))
--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -10,6 +10,7 @@
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.messages import (
     OrderResult,
+    PaceOrder,
     Refused,
     Started,
     StartOrder,
@@ -80,6 +81,18 @@
             outcome=outcome,
         )
 
+    def pace(self, order: PaceOrder, *, outcome: str) -> None:
+        """Tell of a change of pace and its answer."""
+        self.log.emit(
+            "task.pace",
+            job=order.task.job,
+            task=label(order.task),
+            attempt=order.attempt,
+            host=order.host,
+            percent=order.percent,
+            outcome=outcome,
+        )
+
     def advice(
         self,
         assignment: Assignment,
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -9,7 +9,6 @@
 from attrs import define, field
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.advice_desk import AdviceDesk, Assignment
 from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.context import OwnershipLost, Surroundings, Tenure, TermContext
 from rhubarbferry.cell.decision_log import DecisionLog
@@ -17,33 +16,22 @@
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.lease import TTL_S
 from rhubarbferry.cell.members import Member
+from rhubarbferry.cell.orders import Orders
 from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.cell.roster import Roster
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.hosts import CLOCK_DRIFT, LAPSE_MARGIN_S
 from rhubarbferry.dispatch.job import JobPhase
-from rhubarbferry.dispatch.messages import (
-    Advice,
-    AdviceOrder,
-    HostEntry,
-    Order,
-    Sizes,
-    StartOrder,
-    StopOrder,
-    Unanswered,
-)
+from rhubarbferry.dispatch.messages import HostEntry, Sizes
 from rhubarbferry.dispatch.roster import close_hosts, follow_record, next_roster
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.ports.store import StoreError
-from rhubarbferry.ports.workers import FenceStale, WorkerError
 
 # At most this long between two decisions, for what depends on time alone.
 TICK_S = 0.1
 # Between two reads of the host list. A draining host must get no task 2.5 s after it said so.
 DIRECTORY_S = 0.5
-# Beyond the expected time of a question: hops, and the wait behind other work.
-ADVICE_SLACK_S = 1.0
 # Waiting steps are looked at anew this often, should a change have been missed.
 REVIEW_S = 1.0
 RETRY_S = 0.2
@@ -63,8 +51,8 @@
     _roster: Roster = field(init=False)
     _inbox: Inbox = field(init=False)
     _recorder: Recorder = field(init=False)
-    _desk: AdviceDesk = field(init=False)
     _log: DecisionLog = field(init=False)
+    _orders: Orders = field(init=False)
     _tasks: asyncio.TaskGroup = field(init=False)
     _watched: set[str] = field(factory=set)
     _reviewed_at: float = 0.0
@@ -85,8 +73,8 @@
         self._roster = Roster(store=self.around.store, tenure=self.tenure)
         self._inbox = Inbox(ctx=self.ctx)
         self._recorder = Recorder(ctx=self.ctx)
-        self._desk = AdviceDesk(own=self.around.own.name, region=self.around.own.region)
         self._log = DecisionLog(log=self.around.log)
+        self._orders = Orders(ctx=self.ctx, log=self._log, spawn=self._spawn)
 
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not begun, or ``None`` when that is not known."""
@@ -293,9 +281,8 @@
         self._note_settled(unheard, now)
         self._log.outcomes(dispatcher)
         for order in orders:
-            self._carry_out(order)
-        for assignment in self._desk.assign(self._members()):
-            self._spawn(self._ask(assignment))
+            self._orders.carry_out(order)
+        self._orders.ask(self._members())
         self.ctx.note_changes()
 
     def _note_settled(self, unheard: list[str], now: float) -> None:
@@ -314,92 +301,3 @@
         members = dict(self.around.view.members)
         members.setdefault(self.around.own.name, self.around.own)
         return list(members.values())
-
-    def _carry_out(self, order: Order) -> None:
-        match order:
-            case StartOrder():
-                self._spawn(self._start(order))
-            case StopOrder():
-                self._spawn(self._stop(order))
-            case AdviceOrder():
-                job = self.ctx.dispatcher.jobs.get(order.step.job)
-                self._desk.add(order, priority=job.queue.priority if job is not None else 0)
-
-    async def _start(self, order: StartOrder) -> None:
-        host = self.ctx.dispatcher.tracker.hosts[order.host]
-        if not self.tenure.holds():
-            return
-        sent_at = self.ctx.now()
-        result = await self.around.workers.start(host.entry, order, fence=self.tenure.fence)
-        now = self.ctx.now()
-        self._log.start(order, result, took_s=now - sent_at, fence=self.tenure.fence)
-        self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
-        self.ctx.wake.set()
-        if isinstance(result, Unanswered):
-            await self._settle(order)
-
-    async def _settle(self, order: StartOrder) -> None:
-        """Find out what has become of a start without an answer.
-
-        It may have been carried out, or may be, some seconds later. Until that is known its task
-        can't start elsewhere. A look shows it if it runs; if not, a stop keeps it from starting
-        later, and a second look shows which of the two came first.
-        """
-        watch = HostWatch(ctx=self.ctx, id=order.host)
-        await watch.glance()
-        if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
-            await self._stop(
-                StopOrder(
-                    host=order.host,
-                    task=order.task,
-                    attempt=order.attempt,
-                    reason="its start was not answered",
-                )
-            )
-            await watch.glance()
-
-    async def _stop(self, order: StopOrder) -> None:
-        host = self.ctx.dispatcher.tracker.hosts.get(order.host)
-        if host is None or not self.tenure.holds():
-            return
-        try:
-            clock_s = await self.around.workers.stop(host.entry, order, fence=self.tenure.fence)
-        except FenceStale as exc:
-            self.tenure.end(f"host {order.host}: {exc}")
-            return
-        except WorkerError as exc:
-            self._log.stop(order, outcome=f"no answer: {exc}"[:200])
-            return
-        self._log.stop(order, outcome="taken")
-        self.ctx.dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
-
-    async def _ask(self, assignment: Assignment) -> None:
-        order = assignment.order
-        asked_at = self.ctx.now()
-        timeout_s = order.cost.duration_s(len(order.hosts)) + ADVICE_SLACK_S
-        try:
-            if assignment.member.name == self.around.own.name and self.around.policy is not None:
-                found = await self.around.policy.ask(order.step, order.hosts, timeout_s=timeout_s)
-            else:
-                found = await self.around.peers.ask_approval(
-                    assignment.member, order.step, order.hosts, timeout_s=timeout_s
-                )
-        except WorkerError as exc:
-            self._log.advice(assignment, approved=None, reason=str(exc)[:200])
-            self.ctx.dispatcher.advice_failed(order, now=self.ctx.now())
-        else:
-            now = self.ctx.now()
-            self._log.advice(assignment, approved=len(found.approvals), took_s=now - asked_at)
-            self.ctx.dispatcher.advised(
-                Advice(
-                    step=order.step,
-                    asked=order.hosts,
-                    approvals=found.approvals,
-                    answered_at=now,
-                    valid_s=found.valid_s,
-                ),
-                now=now,
-            )
-        finally:
-            self._desk.done(assignment.member.name)
-            self.ctx.wake.set()
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -17,6 +17,7 @@
 from rhubarbferry.dispatch.hung import hung_runs
 from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
+    FULL_PERCENT,
     Advice,
     AdviceOrder,
     EndKind,
@@ -30,6 +31,7 @@
     TaskId,
 )
 from rhubarbferry.dispatch.objective import Urgency
+from rhubarbferry.dispatch.pacing import Pacing
 from rhubarbferry.dispatch.placement import Placed, place
 from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question
 from rhubarbferry.dispatch.succession import Succession
@@ -67,6 +69,7 @@
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
     holds: Holds = Factory(Holds)
+    pacing: Pacing = Factory(Pacing)
     _touched: dict[Step, None] = Factory(dict)
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
@@ -147,6 +150,7 @@
             return
         self.succession.heard(id)
         self._apply(self.tracker.reported(host, report, sent_at=sent_at, now=now), now)
+        self.pacing.heard(host, now)
         self._stop_hung(host, now)
 
     def start_answered(
@@ -170,6 +174,17 @@
         if host is not None:
             self.tracker.stop_answered(host, (task, attempt), clock_s)
 
+    def pace_answered(
+        self, id: str, task: TaskId, attempt: int, percent: int, *, now: float
+    ) -> None:
+        """Note that a host lets a run work at a pace."""
+        host = self.tracker.hosts.get(id)
+        run = host.runs.get((task, attempt)) if host is not None else None
+        if run is not None:
+            run.pace = percent
+            # From here on it must show progress, if it is to work at all.
+            run.progress_at = now
+
     # ------------------------------------------------------------ approvals
 
     def advised(self, advice: Advice, *, now: float) -> None:
@@ -220,6 +235,7 @@
                 # A host on probation takes one task at a time.
                 open_hosts = self._open_hosts(now)
         orders += self.tracker.take_stops()
+        orders += self.pacing.take_orders()
         return orders
 
     def retry(self) -> None:
@@ -259,6 +275,8 @@
         if advice is not None:
             approved = step.approvals.approved
             allowed = [host for host in open_hosts if host.id in approved] if approved else []
+        if step.req.filling:
+            allowed = [host for host in allowed if self.pacing.may_fill(host.id)]
         placed = self._find_hosts(step, allowed)
         if placed:
             self.holds.drop(step)
@@ -301,6 +319,7 @@
                 host=item.host.id,
                 phase=RunPhase.RESERVED,
                 ordered_at=now,
+                pace=FULL_PERCENT,
             )
             task.run = run
             item.host.add(run)
@@ -355,7 +374,7 @@
             case EndKind.FAILED:
                 hosts = len(self.tracker.hosts)
                 self._ejector.failed(end.host, job.id, now=now, hosts=hosts)
-                if self._count_failure(task, end.attempt):
+                if task.has_failed(end.attempt):
                     self._finish(job, JobPhase.FAILED, "a task failed too often")
                     return
             case _:
@@ -363,7 +382,7 @@
         if end.how is not EndKind.LAPSED:
             self._mark(job)
         if task.step.req.gang:
-            self._stop_gang(task.step, end.attempt, "a member ended")
+            self.tracker.stop_gang(task.step, end.attempt, "a member ended")
         self._enqueue(task.step, now)
 
     def _run_refused(self, refusal: RunRefused, now: float) -> None:
@@ -377,19 +396,9 @@
             return
         self._ejector.neither(refusal.host, task.step.job.id)
         if task.step.req.gang:
-            self._stop_gang(task.step, refusal.attempt, "a member was not started")
+            self.tracker.stop_gang(task.step, refusal.attempt, "a member was not started")
         self._enqueue(task.step, now)
 
-    def _count_failure(self, task: Task, attempt: int) -> bool:
-        """Count a failed run; return whether the job has failed by it."""
-        step = task.step
-        if step.req.lasting:
-            return False
-        # Members of a gang's attempt may fail together; the gang has failed once.
-        failed = step.failed_attempts if step.req.gang else task.failed_attempts
-        failed.add(attempt)
-        return len(failed) >= step.job.queue.attempts
-
     def _task_done(self, task: Task, now: float) -> None:
         step = task.step
         job = step.job
@@ -415,16 +424,6 @@
         elif not task.step.req.gang:
             self.tracker.stop(run, "the task is done")
 
-    def _stop_gang(self, step: Step, attempt: int, reason: str) -> None:
-        for task in step.tasks:
-            run = task.run
-            if run is None or run.attempt != attempt:
-                continue
-            if run.phase is RunPhase.RESERVED:
-                self.tracker.release(run)
-            else:
-                self.tracker.stop(run, reason)
-
     def _settle(self, now: float) -> None:
         """Go on with the inherited jobs of which all that may run has been heard of."""
         if not self._unsettled:
@@ -435,7 +434,7 @@
             for step in job.steps():
                 # An earlier owner may have started only some members of a gang.
                 for attempt in step.incomplete_attempts():
-                    self._stop_gang(step, attempt, "the gang was found incomplete")
+                    self.tracker.stop_gang(step, attempt, "the gang was found incomplete")
                 if step in self.waiting:
                     self._touched[step] = None
 
--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -4,6 +4,7 @@
 
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase
+from rhubarbferry.dispatch.messages import FULL_PERCENT
 
 # A task whose progress has not moved for this long hangs. Progress is reported in percent, and one
 # percent of the longest tasks seen takes 0.2 s.
@@ -23,6 +24,9 @@
         return False
     if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
         return False
+    if run.task.step.req.filling and run.pace != FULL_PERCENT:
+        # It was told to go slowly, or to stand still.
+        return False
     return not _waits_for_gang(run, now)
 
 
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -48,6 +48,10 @@
     :param deadline_s: on the host's clock; an order that is carried out later is refused.
     :param percent: progress as last reported.
     :param progress_at: when ``percent`` last rose.
+    :param tail_s: tail latency of its users as last reported, of a task that serves.
+    :param pace: the share of its speed in percent that its host has confirmed; ``None`` for a run
+        that was found, as an earlier owner may have changed it.
+    :param pace_sent_at: when its pace was last ordered.
     """
 
     task: Task
@@ -60,6 +64,9 @@
     progress_at: float = 0.0
     stopping: bool = False
     stop_sent_at: float | None = None
+    tail_s: float = 0.0
+    pace: int | None = None
+    pace_sent_at: float = -math.inf
 
 
 @define(kw_only=True, eq=False, slots=True)
@@ -84,6 +91,15 @@
         """Return the number of its next run, above all that any owner has used."""
         return max(self.attempt + 1, self.step.job.first_attempt)
 
+    def has_failed(self, attempt: int) -> bool:
+        """Count a failed run; return whether its job has failed by it."""
+        if self.step.req.lasting:
+            return False
+        # Members of a gang's attempt may fail together; the gang has failed once.
+        failed = self.step.failed_attempts if self.step.req.gang else self.failed_attempts
+        failed.add(attempt)
+        return len(failed) >= self.step.job.queue.attempts
+
     @property
     def waits(self) -> bool:
         """Whether it has neither ended nor a run."""
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -235,12 +235,14 @@
 
     :param checkpoint: last saved point, empty for none.
     :param percent: how much of its work is done, 0 to 100.
+    :param tail_s: of a task that serves users, their tail latency over the last half second.
     """
 
     task: TaskId
     attempt: int
     checkpoint: str = ""
     percent: float = 0.0
+    tail_s: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
@@ -340,6 +342,23 @@
     reason: str
 
 
+# The pace at which each task begins.
+FULL_PERCENT = 100
+
+
+@frozen(kw_only=True, slots=True)
+class PaceOrder:
+    """Let one attempt of a task work at a share of its speed; its memory stays taken.
+
+    :param percent: 0 to 100; a task begins at 100.
+    """
+
+    host: str
+    task: TaskId
+    attempt: int
+    percent: int
+
+
 @frozen(kw_only=True, slots=True)
 class AdviceOrder:
     """Ask which of ``hosts`` may run a step.
@@ -375,4 +394,4 @@
     valid_s: float
 
 
-Order = StartOrder | StopOrder | AdviceOrder
+Order = StartOrder | StopOrder | PaceOrder | AdviceOrder
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -8,7 +8,7 @@
 from attrs import Factory, define, evolve, frozen
 
 from rhubarbferry.dispatch.hosts import Host
-from rhubarbferry.dispatch.job import Job, Run, RunPhase, Task
+from rhubarbferry.dispatch.job import Job, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
     EndedTask,
     EndKind,
@@ -184,6 +184,7 @@
             run.phase = RunPhase.RUNNING
             run.progress_at = now
         run.deadline_s = report.clock_s
+        run.tail_s = running.tail_s
         if running.percent > run.percent or running.percent < run.percent:
             run.percent = running.percent
             run.progress_at = now
@@ -210,6 +211,7 @@
             deadline_s=report.clock_s,
             percent=running.percent,
             progress_at=now,
+            tail_s=running.tail_s,
         )
         host.add(run)
         task.attempt = max(task.attempt, running.attempt)
@@ -358,6 +360,17 @@
         run.stopping = True
         self._send_stop(run, reason)
 
+    def stop_gang(self, step: Step, attempt: int, reason: str) -> None:
+        """End all runs of one attempt of a gang; without one member the others are of no use."""
+        for task in step.tasks:
+            run = task.run
+            if run is None or run.attempt != attempt:
+                continue
+            if run.phase is RunPhase.RESERVED:
+                self.release(run)
+            else:
+                self.stop(run, reason)
+
     def release(self, run: Run) -> None:
         """Give up a reservation."""
         self._drop(run, "reservation given up")
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -12,6 +12,7 @@
     HostEntry,
     HostReport,
     OrderResult,
+    PaceOrder,
     Refusal,
     Refused,
     RunningTask,
@@ -100,6 +101,18 @@
             raise _error(answer)
         return float(answer.body["clockMs"]) / 1000
 
+    async def pace(self, host: HostEntry, order: PaceOrder, *, fence: int) -> None:
+        """Let a task work at a share of its speed."""
+        body = {
+            "task": task_name(order.task),
+            "attempt": order.attempt,
+            "percent": order.percent,
+            "fence": fence,
+        }
+        answer = await self._call(self._http, host, "pace", body, timeout_s=ORDER_S)
+        if answer.status != 200:
+            raise _error(answer)
+
     async def close(self) -> None:
         """Give up connections."""
         await self._http.close()
@@ -157,6 +170,12 @@
     return WorkerSilent(f"status {answer.status}: {answer.body}")
 
 
+def _last_half_second(row: list[Any]) -> float:
+    # For a task that serves it is a tail latency in milliseconds. For any other it is the
+    # processor in use, of which the dispatcher has no use.
+    return float(row[4]) if len(row) > 4 else 0.0
+
+
 def _report(body: dict[str, Any], host: HostEntry) -> HostReport:
     try:
         return HostReport(
@@ -168,6 +187,7 @@
                     attempt=int(row[1]),
                     checkpoint=str(row[2] or ""),
                     percent=float(row[3]),
+                    tail_s=_last_half_second(row) / 1000,
                 )
                 for row in body.get("active", [])
             ),
--- a/rhubarbferry/ports/workers.py
+++ b/rhubarbferry/ports/workers.py
@@ -11,6 +11,7 @@
     HostEntry,
     HostReport,
     OrderResult,
+    PaceOrder,
     StartOrder,
     StepId,
     StopOrder,
@@ -75,6 +76,13 @@
         """
         ...
 
+    async def pace(self, host: HostEntry, order: PaceOrder, *, fence: int) -> None:
+        """Let a task work at a share of its speed.
+
+        :raises WorkerError: when the host has not confirmed it.
+        """
+        ...
+
 
 class HostDirectory(Protocol):
     """The list of hosts."""
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -269,6 +269,28 @@
     assert stage.workers["w1"].history == []
 
 
+async def test_filling_tasks_are_slowed_beside_a_service_whose_users_wait(stage):
+    """Batch tasks fill the host of a service, whose users then wait longer than its goal. Nobody
+    but the owner can slow the batch, and a service that stays slow breaks its promise."""
+    member = stage.members["one"]
+    service, batch = ids(2)
+    worker = stage.workers["w0"]
+    for other in ("w1", "w2"):
+        stage.store.remove(f"servers/{other}")
+    worker.work_s = 60.0
+    worker.serving = {f"{service}.0.0.0"}
+    await asyncio.sleep(1.0)
+    row = step(longRunning=True, image="web", goalMs=100)
+    assert await stage.submit(member, service, row) == 200
+    await stage.until(member, service, "running")
+    assert await stage.submit(member, batch, step(2, fillCount=True, image="batch")) == 200
+    await stage.until(member, batch, "running")
+    await asyncio.sleep(3.0)
+    paces = [run.pace for run in worker.history if run.task.startswith(batch)]
+    assert len(paces) == 2
+    assert max(paces) < 50
+
+
 async def test_a_changed_settings_file_is_followed_with_and_without_a_signal(stage):
     """The platform moves a service and rewrites the settings files; it tells only some of the
     processes by a signal. A process that ended at the signal, or went on with the old address,
