End the runs in order that a leaving host would take with it

Cause: a host that is taken away says how long it stays, and nothing looked at that.

Ruled out: taking an entry that vanishes soon after a heartbeat for proof that the host has left. Keys can vanish by themselves, and the host may be cut off and run on.

Change: on a draining host a run that will take far longer than the host stays is stopped at once, one that will not end in time 1.5 s before the host leaves; a gang as a whole; lasting tasks at once.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
 from rhubarbferry.dispatch import reservations
+from rhubarbferry.dispatch.evacuation import runs_to_leave
 from rhubarbferry.dispatch.holds import Holds
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.hung import hung_runs
@@ -130,7 +131,7 @@
 
     def host_listed(self, entry: HostEntry, *, now: float) -> None:
         """Take in an entry of the host list."""
-        self._apply(self.tracker.host_listed(entry), now)
+        self._apply(self.tracker.host_listed(entry, now), now)
 
     def host_unlisted(self, id: str) -> None:
         """Note that the host list no longer shows a host."""
@@ -152,6 +153,8 @@
         self._apply(self.tracker.reported(host, report, sent_at=sent_at, now=now), now)
         self.pacing.heard(host, now)
         self._stop_hung(host, now)
+        for run in runs_to_leave(host, now):
+            self.tracker.stop_all_of(run, "its host leaves before it can end")
 
     def start_answered(
         self, id: str, task: TaskId, attempt: int, result: OrderResult, *, now: float
--- a/rhubarbferry/dispatch/holds.py
+++ b/rhubarbferry/dispatch/holds.py
@@ -22,8 +22,6 @@
 DRAIN_S = 2.0
 # A run that is stopped counts as much as this time that the step waits, when hosts are compared.
 VICTIM_COST_S = 0.5
-# From this progress on, what is left of a run is worked out from it; before, from its estimate.
-TELLING_PERCENT = 10.0
 # At most this share of the hosts is held for gangs and urgent steps at a time.
 MOST_HELD_SHARE = 0.5
 
@@ -156,7 +154,7 @@
     victims: list[Run] = []
     room = host.room
     for run in host.runs.values():
-        left_s = _left_s(run, now)
+        left_s = run.left_s(now)
         if left_s > DRAIN_S and _gives_way(run, step):
             victims.append(run)
         elif left_s <= drain_s:
@@ -174,19 +172,6 @@
     )
 
 
-def _left_s(run: Run, now: float) -> float:
-    """Return about how long a run will still take; it gets nowhere as long as it is stopping."""
-    if run.stopping:
-        return 0.0
-    if run.task.step.req.lasting:
-        # It reports all of its work as done once it is up, and goes on until it is cancelled.
-        return math.inf
-    spent_s = now - run.ordered_at
-    if run.percent >= TELLING_PERCENT:
-        return spent_s * (100.0 - run.percent) / run.percent
-    return max(0.0, run.task.step.req.estimate_s - spent_s)
-
-
 def _gives_way(run: Run, step: Step) -> bool:
     other = run.task.step
     if other.job.queue.priority <= step.job.queue.priority:
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -57,6 +57,8 @@
         tasks; it would be given more than it holds.
     :param closed: it gets no orders to start tasks, as the next owner may take it for idle.
     :param blocked_until: it gets no new tasks before this time.
+    :param leaves_at: while it is draining, until when it stays at least; it is the earliest time
+        that its entries have told, as each is up to a heartbeat old when it is read.
     :param was_open: whether it took tasks at the last decision.
     """
 
@@ -73,6 +75,7 @@
     recorded_end: int = 0
     heard_at: float = 0.0
     blocked_until: float = 0.0
+    leaves_at: float | None = None
     was_open: bool = False
     _room: Sizes = field(factory=Sizes)
     _room_used: Sizes | None = None
@@ -124,6 +127,14 @@
         self.held_until_s = max(self.held_until_s, until)
         return until
 
+    def note_leaving(self, now: float) -> None:
+        """Work in how long its entry says that it stays."""
+        if self.entry.phase is not HostPhase.DRAINING:
+            self.leaves_at = None
+        elif self.entry.remaining_s is not None:
+            leaves_at = now + self.entry.remaining_s
+            self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
+
     def add(self, run: Run) -> None:
         """Count a run against the room."""
         self.runs[(run.task.id, run.attempt)] = run
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -11,6 +11,9 @@
 from rhubarbferry.dispatch.messages import JobRequest, Queue, StepId, StepRequest, TaskId
 from rhubarbferry.dispatch.objective import Standing, Urgency, standing, tails
 
+# From this progress on, what is left of a run is worked out from it; before, from its estimate.
+TELLING_PERCENT = 10.0
+
 
 class JobPhase(StrEnum):
     """What a client is told about its job."""
@@ -68,6 +71,18 @@
     pace: int | None = None
     pace_sent_at: float = -math.inf
 
+    def left_s(self, now: float) -> float:
+        """Return about how long it will still take; it gets nowhere as long as it is stopping."""
+        if self.stopping:
+            return 0.0
+        if self.task.step.req.lasting:
+            # It reports all of its work as done once it is up, and goes on until it is cancelled.
+            return math.inf
+        spent_s = now - self.ordered_at
+        if self.percent >= TELLING_PERCENT:
+            return spent_s * (100.0 - self.percent) / self.percent
+        return max(0.0, self.task.step.req.estimate_s - spent_s)
+
 
 @define(kw_only=True, eq=False, slots=True)
 class Task:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -83,11 +83,12 @@
 
     # ------------------------------------------------------------ the host list
 
-    def host_listed(self, entry: HostEntry) -> list[Outcome]:
+    def host_listed(self, entry: HostEntry, now: float) -> list[Outcome]:
         """Take in an entry of the host list."""
         host = self.hosts.get(entry.id)
         if host is None:
-            self.hosts[entry.id] = Host(entry=entry)
+            host = self.hosts[entry.id] = Host(entry=entry)
+            host.note_leaving(now)
             self.changed.add(entry.id)
             return []
         outcomes = []
@@ -97,6 +98,7 @@
             host.entry = entry
             self.changed.add(entry.id)
         host.listed = True
+        host.note_leaving(now)
         return outcomes
 
     def host_unlisted(self, id: str) -> None:
@@ -371,6 +373,13 @@
             else:
                 self.stop(run, reason)
 
+    def stop_all_of(self, run: Run, reason: str) -> None:
+        """Stop a run; of a gang all that run with it."""
+        if run.task.step.req.gang:
+            self.stop_gang(run.task.step, run.attempt, reason)
+        else:
+            self.stop(run, reason)
+
     def release(self, run: Run) -> None:
         """Give up a reservation."""
         self._drop(run, "reservation given up")
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -40,9 +40,11 @@
     )
 
 
-def step(count: int = 1, *, millicores: int = CORES, **fields) -> StepRequest:
+def step(
+    count: int = 1, *, millicores: int = CORES, estimate: float = 1.0, **fields
+) -> StepRequest:
     sizes = Sizes(millicores=millicores, memory_mb=100)
-    return StepRequest(count=count, sizes=sizes, estimate_s=1.0, **fields)
+    return StepRequest(count=count, sizes=sizes, estimate_s=estimate, **fields)
 
 
 def job(id: str, *steps: StepRequest, queue: Queue = QUEUE, **fields) -> Job:
