Begin sooner after a start, and open another connection when a packet of the first is lost

Cause: after all processes were killed, 1.4 s passed until the first task started again.

Ruled out: restart of the process itself (the platform's), readiness checks.

Change: no certificates, as all calls are plain HTTP; the candidate waits for its lease; a connection that is not there after 0.3 s is opened anew, which is safe as nothing has been sent. The HTTP server without signal handlers and the bounded connections stood in three places and are one package now, which the cell loads without the problem documents of the other interface.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from attrs import define, evolve, field
 from loguru import logger
@@ -33,6 +34,8 @@
 REACH_S = 0.45
 # A planned stop asks this many others to take over, before it just removes the owner's key.
 SUCCESSORS_ASKED = 2
+# Between two looks at a lease that has run out, until its keeper asks for another.
+LAPSED_S = 0.05
 # After a term that ended with a failure of this program, others get their turn first.
 FAILURE_PAUSE_S = 1.0
 
@@ -135,7 +138,7 @@
         lease = self.around.keeper.held()
         if lease is None:
             self._registered = 0
-            await asyncio.sleep(RETRY_S)
+            await self._wait_for_lease()
             return
         if lease.id != self._registered and not self._draining:
             await self._register(lease)
@@ -158,6 +161,14 @@
         else:
             await self._watch(WATCH_S)
 
+    async def _wait_for_lease(self) -> None:
+        """Return as soon as there may be a lease: until then a start or an outage lasts longer."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.around.keeper.granted.wait(), RETRY_S)
+        if self.around.keeper.granted.is_set() and self.around.keeper.held() is None:
+            # It has run out, and its keeper has not noticed yet.
+            await asyncio.sleep(LAPSED_S)
+
     async def _watch(self, wait_s: float) -> None:
         """Take in what changes; return early when this process has become the owner."""
         change = asyncio.ensure_future(self._follower.next(wait_s))
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -28,6 +28,7 @@
 
     :ivar answered_at: when the store last granted or extended it.
     :ivar round_trip_s: how long the last grant took.
+    :ivar granted: set while there is a lease, for those that wait for one.
     """
 
     clock: Clock
@@ -36,6 +37,7 @@
     lease: Lease | None = None
     answered_at: float = float("-inf")
     round_trip_s: float = 0.0
+    granted: asyncio.Event = field(factory=asyncio.Event)
     _incarnation: int = 0
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
@@ -86,6 +88,7 @@
             ttl_s=TTL_S,
             margin_s=MARGIN_S,
         )
+        self.granted.set()
         self.log.emit("lease.granted", lease=id, outcome="store reached")
 
     async def _renew(self, lease: Lease) -> None:
@@ -106,3 +109,4 @@
         assert self.lease is not None
         self.log.emit("lease.lost", lease=self.lease.id, reason=reason)
         self.lease = None
+        self.granted.clear()
--- a/rhubarbferry/frontend/daemon.py
+++ b/rhubarbferry/frontend/daemon.py
@@ -7,8 +7,6 @@
 import random
 import signal
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any, Protocol
 
 from attrs import define
@@ -184,11 +182,7 @@
     import uvicorn
 
     from rhubarbferry.frontend.http import HttpProtocol
-
-    class HttpServer(uvicorn.Server):
-        @contextmanager
-        def capture_signals(self) -> Iterator[None]:
-            yield
+    from rhubarbferry.serving.server import HttpServer
 
     config = uvicorn.Config(
         app,
--- a/rhubarbferry/platform/__main__.py
+++ b/rhubarbferry/platform/__main__.py
@@ -1,7 +1,13 @@
 """Run one process of a cell: ``python3 -m rhubarbferry.platform``."""
 
+import os
 import signal
 
+# All calls of a process are plain HTTP within the platform, but the HTTP client's library loads the
+# trusted certificates twice as it is imported, 0.06 s of processor time each: a start takes longer
+# by that, and while all processes start nobody decides.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
 # SIGHUP and SIGTERM end a process that has not said otherwise, and the imports below take a third
 # of a second. A signal in that time is remembered instead.
 _early: list[int] = []
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -14,9 +14,9 @@
 from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Route, RouteTable
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
-from rhubarbferry.frontend.http import ABORT
 from rhubarbferry.platform.job_forms import ID, JobFormError, parse_job
 from rhubarbferry.ports.clock import Clock
+from rhubarbferry.serving.connections import ABORT
 
 ANSWERS = Counter(
     "rhubarbferry_client_answers_total", "Answers to clients", ["queue", "call", "status"]
--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -12,6 +12,8 @@
 
 # Connections stay open between calls, since a new one is paid for and takes a round trip more.
 KEEP_OPEN_S = 30.0
+# A connection takes one round trip (up to 46 ms between regions); the rest is for a busy host.
+CONNECT_S = 0.3
 # Connections to one address at a time; runners allow 64 from all callers together.
 MAX_PER_ADDRESS = 32
 
@@ -79,40 +81,53 @@
         :raises NotSent: when no connection could be made in time.
         :raises NoAnswer: when anything went wrong after that.
         """
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    limit=0, limit_per_host=MAX_PER_ADDRESS, keepalive_timeout=KEEP_OPEN_S
-                ),
-                timeout=aiohttp.ClientTimeout(total=None),
-                trace_configs=[_trace()],
-                auto_decompress=False,
-                skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
-            )
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
         sent_headers = dict(headers or {})
         if data is not None:
             sent_headers["Content-Type"] = "application/json"
         progress = _Progress()
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._session.request(
+            async with asyncio.timeout(timeout_s):
+                return await self._connect_and_send(
                     method,
                     url,
                     data=data,
                     params=query,
                     headers=sent_headers,
                     trace_request_ctx=progress,
-                ) as resp,
-            ):
-                payload = await resp.read()
-                return Answer(status=resp.status, body=_decoded(payload), headers=resp.headers)
+                )
         except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError) as exc:
             if progress.connected:
                 raise NoAnswer(f"{method} {url}: {exc!r}") from exc
             raise NotSent(f"{method} {url}: {exc!r}") from exc
 
+    async def _connect_and_send(self, method: str, url: str, **options: Any) -> Answer:
+        while True:
+            try:
+                return await self._send(method, url, **options)
+            except aiohttp.ConnectionTimeoutError:
+                # The opening packet was lost, and nothing was sent. The system sends it again only
+                # after a second; another connection is there sooner.
+                continue
+
+    async def _send(self, method: str, url: str, **options: Any) -> Answer:
+        async with self._opened().request(method, url, **options) as resp:
+            payload = await resp.read()
+            return Answer(status=resp.status, body=_decoded(payload), headers=resp.headers)
+
+    def _opened(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, limit_per_host=MAX_PER_ADDRESS, keepalive_timeout=KEEP_OPEN_S
+                ),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+                trace_configs=[_trace()],
+                auto_decompress=False,
+                skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+            )
+        return self._session
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
--- a/rhubarbferry/platform/serving.py
+++ b/rhubarbferry/platform/serving.py
@@ -1,15 +1,14 @@
-"""HTTP servers that leave the signals to the process."""
+"""The HTTP servers of a process and their sockets."""
 
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any
 
 import uvicorn
 
-from rhubarbferry.frontend.http import HttpProtocol
+from rhubarbferry.serving.connections import BoundedHttpProtocol
+from rhubarbferry.serving.server import HttpServer
 
 # Connections that wait to be accepted. When the queue is full the opening packet is dropped and
 # sent again after a second, which a client sees as a slow answer.
@@ -18,15 +17,6 @@
 GRACE_S = 1
 
 
-class HttpServer(uvicorn.Server):
-    """A uvicorn server without signal handlers of its own."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Leave the signals alone."""
-        yield
-
-
 def listen(address: str) -> socket.socket:
     """Return a socket that listens on ``ip:port``.
 
@@ -56,7 +46,7 @@
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http=HttpProtocol,
+        http=BoundedHttpProtocol,
         ws="none",
         lifespan="off",
         access_log=False,
--- /dev/null
+++ b/rhubarbferry/serving/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers, the same for all interfaces of the project."""
--- a/rhubarbferry/test/serving.py
+++ b/rhubarbferry/test/serving.py
@@ -6,18 +6,20 @@
 import json
 import signal
 import socket
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import uvicorn
 from starlette.applications import Starlette
 
+from rhubarbferry.serving.server import HttpServer
+
 START_S = 10.0
 STOP_S = 1
 
 
-class _Server(uvicorn.Server):
-    """A server that tells when it listens and leaves the signals to its caller."""
+class _Server(HttpServer):
+    """A server that tells when it listens."""
 
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
@@ -28,11 +30,6 @@
         await super().startup(sockets=sockets)
         self.listening.set()
 
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture none; the base class would end the process by the signal that stopped it."""
-        yield
-
 
 def bind(*, ip: str = "127.0.0.1", port: int = 0) -> socket.socket:
     """Return a bound socket; port 0 takes a free one."""
--- a/tests/frontend/test_gathering.py
+++ b/tests/frontend/test_gathering.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rhubarbferry.frontend.http import GATHERED_BYTES, GatheringTransport
+from rhubarbferry.serving.connections import GATHERED_BYTES, GatheringTransport
 
 
 class FakeTransport:
