--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -101,12 +101,33 @@
 
     async def take_over(self, fence: int) -> bool:
         """Replace the key of an owner that asks for it; return whether that is done."""
+        self.around.log.emit("owner.asked_to_take_over", fence=fence)
+        return await self._become_owner(replaces=fence)
+
+    async def replace_silent(self, ownership: Ownership) -> bool:
+        """Take the work from an owner that does not answer; return whether that is done.
+
+        Its lease is ended first, and its key goes with that. It may be alive and only cut off from
+        this process: were just the key replaced, it could go on to extend its lease, and would act
+        until it hears of that, longer than its successor waits for hosts that only it can reach.
+        """
+        try:
+            await self.around.store.revoke_lease(ownership.lease_id)
+        except StoreError as exc:
+            self.around.log.emit("owner.not_replaced", reason=str(exc)[:200])
+            return False
+        return await self._become_owner(replaces=0)
+
+    async def _become_owner(self, *, replaces: int) -> bool:
+        """Write this process's key; return whether it owns the work.
+
+        :param replaces: revision of the key that stands there, 0 for none.
+        """
         lease = self.around.keeper.held()
         if lease is None or self._draining or self.term is not None:
             return False
-        self.around.log.emit("owner.asked_to_take_over", fence=fence)
         try:
-            ownership = await self._write_key(lease, replaces=fence)
+            ownership = await self._write_key(lease, replaces=replaces)
         except StoreError as exc:
             self.around.log.emit("owner.not_replaced", reason=str(exc)[:200])
             return False
--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -34,10 +34,10 @@
     The key of an owner that was killed, lost its power or stands still stays until its lease has
     ended. No task starts for 1.2 to 1.5 s then; found by pings, that is 0.3 s for one that was
     killed, whose host refuses connections, and 0.6 to 0.9 s for a silent one. No proof of its
-    death is needed: a key may be replaced under a live owner too, which costs one change of the
+    death is needed: the work may be taken from a live owner too, which costs one change of the
     owner that was not due.
 
-    :param replace: writes this process's own key in place of that of the given revision.
+    :param replace: takes the work from the given owner; returns whether that is done.
     """
 
     clock: Clock
@@ -45,7 +45,7 @@
     own: Member
     view: CellView
     peers: PeerClient
-    replace: Callable[[int], Awaitable[bool]]
+    replace: Callable[[Ownership], Awaitable[bool]]
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -85,7 +85,7 @@
         await self.clock.sleep(place * TURN_S)
         if self.view.ownership is None or self.view.ownership.fence != ownership.fence:
             return
-        taken = await self.replace(ownership.fence)
+        taken = await self.replace(ownership)
         self.log.emit(
             "owner.found_silent",
             owner=ownership.owner.name,
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -124,7 +124,7 @@
             own=own,
             view=self.view,
             peers=self.peers,
-            replace=self.candidate.take_over,
+            replace=self.candidate.replace_silent,
         )
         self.peer_server = PeerServer(
             clock=self.clock,
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -144,6 +144,21 @@
     assert stage.owned_key_name() not in ("", owner.name)
 
 
+async def test_an_owner_that_stands_still_finds_its_lease_ended(stage):
+    """The owner is paused for a second, long enough to be taken for dead, and goes on before its
+    lease would have ended. Could it still extend its lease, there would be two who decide."""
+    owner = stage.owner()
+    await asyncio.sleep(ACQUAINTED_S)
+    owner.signal(signal.SIGSTOP)
+    await asyncio.sleep(1.1)
+    owner.signal(signal.SIGCONT)
+    await asyncio.sleep(1.0)
+    assert stage.owner() is not owner
+    assert owner.events("term.ended")
+    found = [line for each in stage.members.values() for line in each.events("owner.found_silent")]
+    assert "replaced" in [line["outcome"] for line in found]
+
+
 async def test_acknowledged_jobs_outlive_all_processes(stage):
     """All processes are killed right after jobs were acknowledged, as when all power fails.
     A user who was told that his job is accepted must not have to hand it in again."""
--- a/tests/cell/test_owner_watch.py
+++ b/tests/cell/test_owner_watch.py
@@ -58,9 +58,9 @@
     def owned_by(self, name: str, fence: int) -> None:
         self.view.ownership = Ownership(owner=member(name), fence=fence, lease_id=1)
 
-    async def replace(self, fence: int) -> bool:
-        self.replaced.append(fence)
-        self.owned_by("own", fence + 1)
+    async def replace(self, ownership: Ownership) -> bool:
+        self.replaced.append(ownership.fence)
+        self.owned_by("own", ownership.fence + 1)
         return True
 
 
