Split the calls between processes by side; drop a revision that nothing reads

Job.created_revision was kept and never read.

The test of a hand-over failed once in a run of four at a time: it asked for the reason that the former owner gives, and its watch may show the successor's key in the same millisecond as the successor's answer comes. The owner had handed over as it should (its lines: hands_over true, ended with "its key was replaced"). The test now asks for the hand-over itself, which is as strict."

--- a/bench/dispatch_backlog.py
+++ b/bench/dispatch_backlog.py
@@ -49,7 +49,6 @@
         req=JobRequest(id=id, queue="queue", payload="", steps=(step,)),
         queue=QUEUE,
         arrived_at=0.0,
-        created_revision=1,
         record_revision=1,
     )
 
--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -318,7 +318,6 @@
             req=arrival.req,
             queue=arrival.work.queue,
             arrived_at=self.now,
-            created_revision=1,
             record_revision=1,
         )
         self._dispatcher.add_job(job, now=self.now, wall_s=self.now)
--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -10,8 +10,8 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.cell.owner_link import OwnerLink
-from rhubarbferry.cell.peers import AcceptedJob
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import (
     JobRecord,
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -9,7 +9,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import OwnershipLost, TermContext
 from rhubarbferry.cell.following import PrefixFollower
-from rhubarbferry.cell.peers import AcceptedJob
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.dispatch.job import Job, JobPhase
 from rhubarbferry.dispatch.record import (
     JobRecord,
@@ -206,7 +206,6 @@
             req=record.req,
             queue=queue or record.queue,
             arrived_at=self.ctx.now() - (self._age_s(record) if inherited else 0.0),
-            created_revision=kv.mod_revision,
             record_revision=state.mod_revision,
             inherited=inherited,
             first_attempt=self.ctx.tenure.fence if inherited else 1,
--- a/rhubarbferry/cell/owner_link.py
+++ b/rhubarbferry/cell/owner_link.py
@@ -9,7 +9,8 @@
 from prometheus_client import Counter
 
 from rhubarbferry.cell.members import CellView, Member
-from rhubarbferry.cell.peers import AcceptedJob, OwnedWork, PeerClient, Silence
+from rhubarbferry.cell.owned_work import AcceptedJob, OwnedWork
+from rhubarbferry.cell.peers import PeerClient, Silence
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.ports.clock import Clock
 
--- /dev/null
+++ b/rhubarbferry/cell/peer_server.py
@@ -0,0 +1,159 @@
+"""Answers to calls of other processes of the cell."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from rhubarbferry.cell.job_calls import Cancelled, JobCalls, PhaseUnknown
+from rhubarbferry.cell.owned_work import AcceptedJob, OwnedWork
+from rhubarbferry.cell.peers import WORDS
+from rhubarbferry.dispatch.messages import StepId
+from rhubarbferry.dispatch.record import RecordError, decode_request
+from rhubarbferry.ports.clock import Clock
+from rhubarbferry.ports.workers import PolicyService, WorkerError
+from rhubarbferry.rpc.gen.ttypes import Acceptance as AcceptanceWord
+from rhubarbferry.rpc.gen.ttypes import (
+    ApprovalReply,
+    ApprovalRequest,
+    HostApproval,
+    JobNotice,
+    JobNoticeReply,
+    OwnedPhaseReply,
+    OwnedPhaseRequest,
+    PendingReply,
+    PendingRequest,
+    PingReply,
+    PingRequest,
+    RelayedCancel,
+    RelayedCancelReply,
+    RelayedPhase,
+    RelayedPhaseReply,
+    RelayedSubmit,
+    RelayedSubmitReply,
+    StoreReachReply,
+    StoreReachRequest,
+    TakeOverReply,
+    TakeOverRequest,
+)
+from rhubarbferry.rpc.server import Server
+from rhubarbferry.rpc.services import PEER
+
+
+class PeerServer:
+    """Answers other processes of the cell.
+
+    :param jobs: serves the job calls of processes that can't reach the store.
+    :param policy: asked on behalf of the owner.
+    :param term: this process's term of ownership, while there is one.
+    :param store_reached: whether the store answers this process now.
+    :param take_over: replaces the owner's key of the given revision by this process's own.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        jobs: JobCalls,
+        policy: PolicyService | None,
+        term: Callable[[], OwnedWork | None],
+        store_reached: Callable[[], Awaitable[bool]],
+        take_over: Callable[[int], Awaitable[bool]],
+    ) -> None:
+        self._clock = clock
+        self._jobs = jobs
+        self._policy = policy
+        self._term = term
+        self._store_reached = store_reached
+        self._take_over = take_over
+        handlers: dict[str, Callable[..., Awaitable[object]]] = {
+            "ping": self._ping,
+            "pending": self._pending,
+            "job_accepted": self._job_accepted,
+            "owned_phase": self._owned_phase,
+            "ask_approval": self._ask_approval,
+            "store_reach": self._reach,
+            "take_over": self._take,
+            "submit": self._submit,
+            "phase": self._phase,
+            "cancel": self._cancel,
+        }
+        self._server = Server(service=PEER, handlers=handlers)
+
+    async def start(self, address: str) -> None:
+        """Listen on ``ip:port``."""
+        ip, _, port = address.rpartition(":")
+        await self._server.start(ip, int(port))
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        await self._server.close()
+
+    async def _ping(self, req: PingRequest) -> PingReply:
+        return PingReply()
+
+    async def _reach(self, req: StoreReachRequest) -> StoreReachReply:
+        return StoreReachReply(reached=await self._store_reached())
+
+    async def _take(self, req: TakeOverRequest) -> TakeOverReply:
+        return TakeOverReply(taken=await self._take_over(req.fence))
+
+    async def _pending(self, req: PendingRequest) -> PendingReply:
+        term = self._term()
+        count = term.pending(req.queue) if term is not None else None
+        return PendingReply(owner=count is not None, pending=count or 0)
+
+    async def _job_accepted(self, req: JobNotice) -> JobNoticeReply:
+        term = self._term()
+        if term is None:
+            return JobNoticeReply(taken=False)
+        job = AcceptedJob(id=req.job, record=req.record, revision=req.revision, fence=req.fence)
+        return JobNoticeReply(taken=term.accepted(job))
+
+    async def _owned_phase(self, req: OwnedPhaseRequest) -> OwnedPhaseReply:
+        term = self._term()
+        phase = term.phase(req.job) if term is not None else None
+        return OwnedPhaseReply(phase=phase.value if phase is not None else None)
+
+    async def _submit(self, req: RelayedSubmit) -> RelayedSubmitReply:
+        deadline = self._clock.monotonic() + req.timeout_ms / 1000
+        try:
+            record = decode_request(req.record)
+        except RecordError as exc:
+            logger.error("a process passed on a job that can't be read: {}", exc)
+            return RelayedSubmitReply(accepted=AcceptanceWord.NOT_ACCEPTED)
+        return RelayedSubmitReply(
+            accepted=WORDS[await self._jobs.submit(record, deadline=deadline)]
+        )
+
+    async def _phase(self, req: RelayedPhase) -> RelayedPhaseReply:
+        try:
+            phase = await self._jobs.phase(req.job)
+        except PhaseUnknown:
+            return RelayedPhaseReply(read=False)
+        return RelayedPhaseReply(read=True, phase=phase.value if phase is not None else None)
+
+    async def _cancel(self, req: RelayedCancel) -> RelayedCancelReply:
+        deadline = self._clock.monotonic() + req.timeout_ms / 1000
+        result = await self._jobs.cancel(req.job, deadline=deadline)
+        return RelayedCancelReply(
+            recorded=result is not Cancelled.NOT_NOW,
+            known=result is not Cancelled.UNKNOWN_JOB,
+        )
+
+    async def _ask_approval(self, req: ApprovalRequest) -> ApprovalReply:
+        step = StepId(job=req.job, occurrence=req.occurrence, step=req.step)
+        if self._policy is None:
+            return ApprovalReply(
+                answered=False, approvals=[], valid_ms=0, detail="no policy service is set"
+            )
+        try:
+            found = await self._policy.ask(step, tuple(req.hosts), timeout_s=req.timeout_ms / 1000)
+        except WorkerError as exc:
+            return ApprovalReply(answered=False, approvals=[], valid_ms=0, detail=str(exc))
+        return ApprovalReply(
+            answered=True,
+            approvals=[HostApproval(host=a.host, ticket=a.ticket) for a in found.approvals],
+            valid_ms=int(found.valid_s * 1000),
+        )
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -17,7 +17,7 @@
 from rhubarbferry.cell.lease import TTL_S
 from rhubarbferry.cell.members import Member
 from rhubarbferry.cell.orders import Orders
-from rhubarbferry.cell.peers import AcceptedJob
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.cell.roster import Roster
 from rhubarbferry.dispatch.dispatcher import Dispatcher
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -186,7 +186,6 @@
 class Job:
     """A job that has not ended.
 
-    :param created_revision: the store's revision that holds its acceptance.
     :param record_revision: the store's revision of its state record, to write it under a
         condition.
     :param inherited: accepted before the present owner took over, so an earlier owner may
@@ -197,7 +196,6 @@
     req: JobRequest
     queue: Queue
     arrived_at: float
-    created_revision: int
     record_revision: int
     inherited: bool = False
     first_attempt: int = 1
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -21,7 +21,8 @@
 from rhubarbferry.cell.members import CellView, Member
 from rhubarbferry.cell.owner_link import OwnerLink
 from rhubarbferry.cell.owner_watch import OwnerWatch
-from rhubarbferry.cell.peers import PeerClient, PeerServer
+from rhubarbferry.cell.peer_server import PeerServer
+from rhubarbferry.cell.peers import PeerClient
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.platform.client_api import ClientApi
 from rhubarbferry.platform.configuration import KEY as CONFIGURATION_KEY
--- a/tests/cell/test_acceptance.py
+++ b/tests/cell/test_acceptance.py
@@ -11,7 +11,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.acceptance import Acceptance
 from rhubarbferry.cell.job_calls import Accepted
-from rhubarbferry.cell.peers import AcceptedJob
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Committed, Put, Txn
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -127,7 +127,8 @@
     owner.signal(signal.SIGTERM)
     assert await asyncio.wait_for(owner.child.wait(), 8.0) == 0
     (ended,) = owner.events("term.ended")
-    assert ended["reason"].startswith("handed over to ")
+    # Its watch may show the successor's key a moment before the successor says so.
+    assert [line["outcome"] for line in owner.events("owner.hands_over")] == [True]
     begun = [line for member in stage.members.values() for line in member.events("term.loaded")]
     assert len(begun) == 2
     assert max(line["at"] for line in begun) - ended["at"] < 0.8
--- a/tests/cell/test_inbox.py
+++ b/tests/cell/test_inbox.py
@@ -12,7 +12,7 @@
 from rhubarbferry.cell.following import PrefixFollower
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.members import CellView, encode_member
-from rhubarbferry.cell.peers import AcceptedJob
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.job import JobPhase
--- a/tests/cell/test_owner_link.py
+++ b/tests/cell/test_owner_link.py
@@ -6,8 +6,9 @@
 from attrs import Factory, define
 
 from rhubarbferry.cell.members import CellView, Ownership
+from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.cell.owner_link import OWNER_PAUSE_S, PENDING_AGE_S, OwnerLink
-from rhubarbferry.cell.peers import AcceptedJob, Silence
+from rhubarbferry.cell.peers import Silence
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.test.fake_clock import FakeClock
 
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -198,7 +198,6 @@
             req=req,
             queue=queue,
             arrived_at=self.now,
-            created_revision=1,
             record_revision=1,
             inherited=inherited,
             first_attempt=self.fence * 1000 if inherited else 1,
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -52,7 +52,6 @@
         req=JobRequest(id=id, queue=queue.name, payload="work", steps=steps),
         queue=queue,
         arrived_at=fields.pop("arrived_at", 0.0),
-        created_revision=1,
         record_revision=1,
         **fields,
     )
