Believe no news from before a process won the work, and tell of the win once

The process that had taken the work (owner.found_silent, outcome replaced) began no term, and nobody did for as long as the test ran. It knew of its win from the store's answer; then its watch told how the former owner's key had gone, and it believed that nobody owned the work. The mark that ends its wait after a win was only taken back when a term begins, so that each later wait ended at once and it never heard that its own key stands.

Ruled out: the former owner (dead), its lease (ended, by the lines of the test).

Change: what the store tells of the owner's key counts only if it is not older than the ownership that is known, in changes and in listings; the mark is taken back by the wait that it ends.

The new tests fail without the change."

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -134,7 +134,7 @@
         if ownership is None:
             return False
         # The watch shows it too, by one more answer of the store in which nobody would decide.
-        self.around.view.ownership = ownership
+        self.around.view.owned(ownership)
         self._won.set()
         return True
 
@@ -196,6 +196,8 @@
         won = asyncio.ensure_future(self._won.wait())
         try:
             await asyncio.wait({change, won}, return_when=asyncio.FIRST_COMPLETED)
+            # Told once: were it told again, this watch would never hear of anything any more.
+            self._won.clear()
             if not change.done():
                 return
         finally:
@@ -203,7 +205,7 @@
             won.cancel()
         match change.result():
             case Listing(items=items, revision=revision):
-                self.around.view.replace(items)
+                self.around.view.replace(items, revision=revision)
                 self._election = revision
             case Changes(events=events, revision=revision) if events:
                 self.around.view.apply(events)
@@ -237,7 +239,7 @@
         ownership = await self._write_key(lease, replaces=replaces)
         self._follower.restart()
         if ownership is not None:
-            self.around.view.ownership = ownership
+            self.around.view.owned(ownership)
             await self._hold(ownership, lease)
 
     async def _write_key(self, lease: Lease, *, replaces: int) -> Ownership | None:
@@ -260,7 +262,6 @@
         tenure = Tenure(keeper=self.around.keeper, lease_id=lease.id, fence=ownership.fence)
         term = Term(around=self.around, tenure=tenure)
         self.around.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
-        self._won.clear()
         self.term = term
         self._running = asyncio.create_task(term.run())
         failed = False
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -138,9 +138,8 @@
             self.ctx.dispatcher.ended[id] = phase
 
     def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
-        self.ctx.around.view.replace(
-            item for item in listing.items if item.key.startswith(keys.CONTROL)
-        )
+        control = (item for item in listing.items if item.key.startswith(keys.CONTROL))
+        self.ctx.around.view.replace(control, revision=listing.revision)
         ownership = self.ctx.around.view.ownership
         if ownership is None or ownership.fence != self.ctx.tenure.fence:
             self._lost("its key was removed or replaced")
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -66,10 +66,11 @@
     registered: dict[str, int] = field(factory=dict)
     ownership: Ownership | None = None
 
-    def replace(self, items: Iterable[KeyValue]) -> None:
-        """Take in a whole listing."""
+    def replace(self, items: Iterable[KeyValue], *, revision: int) -> None:
+        """Take in a whole listing, as of a revision of the store."""
         self.members = {}
-        self.ownership = None
+        if self.ownership is not None and self.ownership.fence <= revision:
+            self.ownership = None
         for item in items:
             self._put(item)
 
@@ -79,22 +80,35 @@
             match event:
                 case KeyPut(kv=kv):
                     self._put(kv)
-                case KeyDeleted(key=key):
-                    self._delete(key)
+                case KeyDeleted(key=key, revision=revision):
+                    self._delete(key, revision)
 
     def _put(self, kv: KeyValue) -> None:
         if kv.key == keys.OWNER:
-            self.ownership = Ownership(
-                owner=decode_member(kv.value), fence=kv.mod_revision, lease_id=kv.lease_id
+            self.owned(
+                Ownership(
+                    owner=decode_member(kv.value), fence=kv.mod_revision, lease_id=kv.lease_id
+                )
             )
         elif kv.key.startswith(keys.MEMBERS):
             member = decode_member(kv.value)
             self.members[member.name] = member
             self.registered[member.name] = kv.mod_revision
 
-    def _delete(self, key: str) -> None:
+    def owned(self, ownership: Ownership) -> None:
+        """Note who owns the work, unless a later owner is known.
+
+        A process that becomes the owner knows it from the answer to its write, and only then hears
+        from its watch how the former owner's key has gone. Taken for its own, it would wait for a
+        key that it has, and nobody would do the work.
+        """
+        if self.ownership is None or ownership.fence >= self.ownership.fence:
+            self.ownership = ownership
+
+    def _delete(self, key: str, revision: int) -> None:
         if key == keys.OWNER:
-            self.ownership = None
+            if self.ownership is not None and self.ownership.fence <= revision:
+                self.ownership = None
         elif key.startswith(keys.MEMBERS):
             self.members.pop(key.removeprefix(keys.MEMBERS), None)
 
--- /dev/null
+++ b/tests/cell/test_candidate.py
@@ -0,0 +1,48 @@
+"""How a process follows who owns the work, and becomes the owner."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from rhubarbferry.cell import keys
+from rhubarbferry.cell.candidate import Candidate
+from rhubarbferry.cell.members import CellView, Ownership, encode_member
+from rhubarbferry.ports.store import Changes, KeyPut, KeyValue
+
+from .parts import Lines, member
+
+LATER = KeyValue(
+    key=keys.OWNER, value=encode_member(member("later")), mod_revision=20, create_revision=20
+)
+ENDS_S = 2.0
+
+
+class Follower:
+    """A watch that hears of a change after a while."""
+
+    listed = True
+
+    async def next(self, wait_s: float) -> Changes:
+        await asyncio.sleep(0.05)
+        return Changes(events=(KeyPut(kv=LATER),), revision=20)
+
+
+def candidate() -> Candidate:
+    around = SimpleNamespace(
+        view=CellView(), log=Lines(), own=member("own"), follow=lambda prefix: Follower()
+    )
+    return Candidate(around=around)
+
+
+async def test_a_process_that_has_won_goes_on_to_hear_of_changes():
+    """A process wins the work outside of its turn, which ends its wait for changes. Were each
+    later wait ended as well, it would never hear that another process has taken over, or that
+    its own key stands: nobody would do the work, with the key there for all to see."""
+    found = candidate()
+    found.around.view.owned(Ownership(owner=member("own"), fence=9, lease_id=1))
+    found._won.set()
+    async with asyncio.timeout(ENDS_S):
+        while found.around.view.ownership.fence == 9:
+            await found._watch(1.0)
+    assert found.around.view.ownership.owner.name == "later"
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -5,8 +5,15 @@
 import pytest
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.members import CellView, decode_member, encode_member, rank, successors
-from rhubarbferry.ports.store import KeyValue
+from rhubarbferry.cell.members import (
+    CellView,
+    Ownership,
+    decode_member,
+    encode_member,
+    rank,
+    successors,
+)
+from rhubarbferry.ports.store import KeyDeleted, KeyPut, KeyValue
 
 from .parts import member
 
@@ -38,19 +45,67 @@
     assert first == set("abcd")
 
 
+def key_of(key: str, name: str, *, revision: int, store_s: float = 0.0) -> KeyValue:
+    return KeyValue(
+        key=key,
+        value=encode_member(member(name, store_s=store_s)),
+        mod_revision=revision,
+        create_revision=revision,
+    )
+
+
+OWN = Ownership(owner=member("own"), fence=9, lease_id=1)
+OLD_KEY = key_of(keys.OWNER, "former", revision=5)
+LATER_KEY = key_of(keys.OWNER, "later", revision=12)
+
+# What comes from the watch or a listing after a process knows that it owns the work, and who owns
+# it then.
+LATER_NEWS = {
+    "how the former owner's key has gone": ([KeyDeleted(key=keys.OWNER, revision=8)], "own"),
+    "the former owner's key": ([KeyPut(kv=OLD_KEY)], "own"),
+    "its own key's end": ([KeyDeleted(key=keys.OWNER, revision=10)], ""),
+    "a later owner's key": ([KeyPut(kv=LATER_KEY)], "later"),
+}
+
+
+@pytest.mark.parametrize(("events", "owner"), LATER_NEWS.values(), ids=LATER_NEWS.keys())
+def test_news_from_before_do_not_hide_who_owns_the_work_now(events, owner):
+    """A process takes the work from an owner that is silent, and knows so from the store's answer.
+    Its watch tells only then how the former key has gone. Did it believe that nobody owned the
+    work, it would wait for its turn to win a key that it has, and no job would ever start."""
+    view = CellView()
+    view.owned(OWN)
+    view.apply(events)
+    assert (view.ownership.owner.name if view.ownership else "") == owner
+
+
+LISTINGS = {
+    "from before it won": ([OLD_KEY], 8, "own"),
+    "from before it won, without a key": ([], 8, "own"),
+    "from after its key has gone": ([], 10, ""),
+    "with a later owner": ([LATER_KEY], 13, "later"),
+}
+
+
+@pytest.mark.parametrize(("items", "revision", "owner"), LISTINGS.values(), ids=LISTINGS.keys())
+def test_a_listing_from_before_does_not_hide_who_owns_the_work_now(items, revision, owner):
+    view = CellView()
+    view.owned(OWN)
+    view.replace(items, revision=revision)
+    assert (view.ownership.owner.name if view.ownership else "") == owner
+
+
 def test_a_planned_stop_asks_near_processes_first_and_of_these_the_latest():
     """All processes are restarted in turn. One that has not been restarted yet will be stopped
     soon, and would hand over again at once."""
     view = CellView()
     rows = [("a", NEAR, 1), ("b", NEAR, 9), ("c", FAR, 12), ("own", NEAR, 20)]
     view.replace(
-        KeyValue(
-            key=keys.MEMBERS + name,
-            value=encode_member(member(name, store_s=store_s)),
-            mod_revision=revision,
-            create_revision=revision,
-        )
-        for name, store_s, revision in rows
+        (
+            key_of(keys.MEMBERS + name, name, revision=revision, store_s=store_s)
+            for name, store_s, revision in rows
+        ),
+        revision=30,
     )
     assert [each.name for each in successors(member("own"), view)] == ["b", "a", "c"]
 
