--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -69,6 +69,7 @@
     def replace(self, items: Iterable[KeyValue], *, revision: int) -> None:
         """Take in a whole listing, as of a revision of the store."""
         self.members = {}
+        self.registered = {}
         if self.ownership is not None and self.ownership.fence <= revision:
             self.ownership = None
         for item in items:
@@ -110,7 +111,9 @@
             if self.ownership is not None and self.ownership.fence <= revision:
                 self.ownership = None
         elif key.startswith(keys.MEMBERS):
-            self.members.pop(key.removeprefix(keys.MEMBERS), None)
+            name = key.removeprefix(keys.MEMBERS)
+            self.members.pop(name, None)
+            self.registered.pop(name, None)
 
 
 # Round trips to the store that differ by less than this count as alike: another region adds 40 ms.
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -279,7 +279,7 @@
             approved = step.approvals.approved
             allowed = [host for host in open_hosts if host.id in approved] if approved else []
         if step.req.filling:
-            allowed = [host for host in allowed if self.pacing.may_fill(host.id)]
+            allowed = [host for host in allowed if self.pacing.may_fill(host)]
         placed = self._find_hosts(step, allowed)
         if placed:
             self.holds.drop(step)
--- a/rhubarbferry/dispatch/pacing.py
+++ b/rhubarbferry/dispatch/pacing.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable
+from weakref import WeakKeyDictionary
 
 from attrs import Factory, define
 
@@ -88,23 +89,20 @@
 class Pacing:
     """The pace of filling tasks on all hosts."""
 
-    _hosts: dict[str, HostPace] = Factory(dict)
+    # Gone with the hosts that the tracker forgets.
+    _hosts: WeakKeyDictionary[Host, HostPace] = Factory(WeakKeyDictionary)
     _orders: list[PaceOrder] = Factory(list)
 
     def heard(self, host: Host, now: float) -> None:
         """Work in what a host has just reported."""
-        pace = self._hosts.get(host.id)
+        pace = self._hosts.get(host)
         if pace is None:
-            pace = self._hosts[host.id] = HostPace()
+            pace = self._hosts[host] = HostPace()
         self._orders += pace.heard(host, now)
 
-    def forget(self, id: str) -> None:
-        """Forget a host that has gone."""
-        self._hosts.pop(id, None)
-
-    def may_fill(self, id: str) -> bool:
+    def may_fill(self, host: Host) -> bool:
         """Tell whether a host can do with another filling task."""
-        pace = self._hosts.get(id)
+        pace = self._hosts.get(host)
         return pace is None or pace.percent == FULL_PERCENT
 
     def take_orders(self) -> list[PaceOrder]:
