Name a counter of the cell so that no other has its name

Change: the cell's counter is rhubarbferry_task_start_orders_total. A test loads all modules into one process; it failed before.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -20,7 +20,7 @@
 )
 from rhubarbferry.dispatch.tracker import RunEnded, RunRefused
 
-STARTS = Counter("rhubarbferry_task_starts_total", "Orders to start a task", ["outcome"])
+STARTS = Counter("rhubarbferry_task_start_orders_total", "Orders to start a task", ["outcome"])
 ENDS = Counter("rhubarbferry_task_ends_total", "Ends of runs", ["how"])
 START_SECONDS = Histogram(
     "rhubarbferry_task_start_seconds",
