Report why jobs were late or not served, from the decision lines

The table of what binds needs the reason of each lost job; the on-call engineer needs it as well. The report divides each job's time among what it waited for and counts the lost jobs by the largest part, in windows of 2 s; the sums are all jobs lost. The objective of a job is on its job.taken line.

--- a/rhubarbferry/management/app.py
+++ b/rhubarbferry/management/app.py
@@ -38,6 +38,9 @@
     app.command(f"{COMMANDS}.{_target}", name=_name, help=_help)
 app.command(report)
 report.command(f"{COMMANDS}.report:slo", name="slo", help="Burn of the service-level objectives.")
+report.command(
+    f"{COMMANDS}.losses:report_losses", name="losses", help="Why jobs were late or not served."
+)
 
 
 def run_command(argv: list[str]) -> int:
--- /dev/null
+++ b/rhubarbferry/management/commands/losses.py
@@ -0,0 +1,54 @@
+"""``report losses``: why jobs were late or not served, from the lines of the processes."""
+
+from __future__ import annotations
+
+import sys
+from itertools import chain
+from pathlib import Path
+
+from attrs import evolve
+
+from rhubarbferry.management.exits import Exit
+from rhubarbferry.management.output import Format, print_rows
+from rhubarbferry.reports.losses import LossRow, losses, parse_lines
+
+
+def report_losses(*files: Path, total: bool = False, format: Format = "table") -> int:
+    """Count the jobs that were late or not served, by window of 2 s and by cause.
+
+    :param files: what the processes of one cell wrote, in any order; ``-`` for standard input.
+    :param total: add the windows and queues up.
+    :param format: a table or JSON.
+    """
+    lines = parse_lines(chain.from_iterable(_texts(file) for file in files or (Path("-"),)))
+    if not lines:
+        print("no line of a process in these files", file=sys.stderr)
+        return Exit.FAILED
+    rows = losses(lines)
+    print_rows(_totals(rows) if total else rows, kind=LossRow, format=format)
+    return Exit.OK
+
+
+def _texts(file: Path) -> list[str]:
+    if str(file) == "-":
+        return sys.stdin.read().splitlines()
+    return file.read_text(encoding="utf-8", errors="replace").splitlines()
+
+
+def _totals(rows: list[LossRow]) -> list[LossRow]:
+    found: dict[str, LossRow] = {}
+    for row in rows:
+        known = found.get(row.cause)
+        if known is None:
+            found[row.cause] = evolve(row, window_s=0.0, queue="")
+            continue
+        lost = known.lost + row.lost
+        found[row.cause] = evolve(
+            known,
+            late=known.late + row.late,
+            missed=known.missed + row.missed,
+            refused=known.refused + row.refused,
+            failed=known.failed + row.failed,
+            waited_s=(known.waited_s * known.lost + row.waited_s * row.lost) / lost,
+        )
+    return sorted(found.values(), key=lambda row: -row.lost)
--- /dev/null
+++ b/tests/reports/test_losses.py
@@ -0,0 +1,138 @@
+"""Why jobs were late, told from the lines of a cell."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from rhubarbferry.management.app import run_command
+from rhubarbferry.reports.losses import Cause, Verdict, losses, parse_lines, trace_jobs
+
+OBJECTIVE_S = 2.0
+TAKEN = {"event": "job.taken", "job": "j", "tasks": 1, "objective_s": OBJECTIVE_S}
+ACCEPTED = {"event": "job.accepted", "job": "j", "queue": "q"}
+REFUSED = {"event": "job.not_accepted", "job": "j", "outcome": "refused"}
+APPROVED = {"event": "approval", "job": "j", "approved": 3}
+START = {"event": "task.start", "job": "j", "task": "0.0.0"}
+STARTED = {**START, "outcome": "started"}
+UNANSWERED = {**START, "outcome": "unanswered: TimeoutError()"}
+END = {"event": "task.end", "job": "j", "task": "0.0.0"}
+DONE = {**END, "outcome": "done"}
+LAPSED = {**END, "outcome": "lapsed"}
+COMPLETE = {"event": "job.recorded", "job": "j", "phase": "complete"}
+SETTLED = {"event": "term.settled"}
+KILLED = {"event": "process.started"}
+
+# What happened, as seconds and lines; then the verdict and the cause.
+STORIES = {
+    "served": (
+        [(0, ACCEPTED), (0.1, TAKEN), (0.2, APPROVED), (0.3, STARTED), (1, DONE), (1.1, COMPLETE)],
+        Verdict.IN_TIME,
+        None,
+    ),
+    "no room": (
+        [(0, ACCEPTED), (0.1, TAKEN), (0.2, APPROVED), (3, STARTED), (4, DONE), (4, COMPLETE)],
+        Verdict.LATE,
+        Cause.ROOM,
+    ),
+    "a slow policy": (
+        [(0, ACCEPTED), (0.1, TAKEN), (3, APPROVED), (3, STARTED), (4, DONE), (4, COMPLETE)],
+        Verdict.LATE,
+        Cause.APPROVAL,
+    ),
+    "a host that does not answer": (
+        [
+            (0, ACCEPTED),
+            (0, TAKEN),
+            (0.2, UNANSWERED),
+            (3, LAPSED),
+            (3, STARTED),
+            (4, DONE),
+            (4, COMPLETE),
+        ],
+        Verdict.LATE,
+        Cause.START,
+    ),
+    "a run that was lost": (
+        [(0, ACCEPTED), (0, TAKEN), (0.1, STARTED), (3, LAPSED), (3, STARTED), (9, COMPLETE)],
+        Verdict.MISSED,
+        Cause.WORK,
+    ),
+    "a run that was lost and begun again": (
+        [
+            (0, ACCEPTED),
+            (0, TAKEN),
+            (0.1, STARTED),
+            (3, LAPSED),
+            (3.1, STARTED),
+            (4, DONE),
+            (4, COMPLETE),
+        ],
+        Verdict.LATE,
+        Cause.RESTART,
+    ),
+    "a store that does not answer": (
+        [(0, REFUSED), (1, REFUSED)],
+        Verdict.REFUSED,
+        Cause.ACCEPTANCE,
+    ),
+    "accepted at last": (
+        [(0, REFUSED), (3, ACCEPTED), (3, TAKEN), (3, STARTED), (4, DONE), (4, COMPLETE)],
+        Verdict.LATE,
+        Cause.ACCEPTANCE,
+    ),
+    "an end that was not recorded": (
+        [(0, ACCEPTED), (0, TAKEN), (0, STARTED), (1, DONE), (4, COMPLETE)],
+        Verdict.LATE,
+        Cause.RECORD,
+    ),
+    "an owner that was killed": (
+        [
+            (0, SETTLED),
+            (0, ACCEPTED),
+            (0, TAKEN),
+            (0.1, STARTED),
+            (0.5, KILLED),
+            (4, {**SETTLED, "member": "other"}),
+            (4, DONE),
+            (4.1, COMPLETE),
+        ],
+        Verdict.LATE,
+        Cause.OWNER,
+    ),
+}
+
+
+def texts(story) -> list[str]:
+    return [json.dumps({"at": 1000.0 + at, "member": "owner", **line}) for at, line in story]
+
+
+@pytest.mark.parametrize(("story", "verdict", "cause"), STORIES.values(), ids=STORIES.keys())
+def test_a_job_is_judged_by_what_it_waited_for_most(story, verdict, cause):
+    lines = parse_lines(texts(story))
+    (trace,) = trace_jobs(lines)
+    assert trace.verdict(lines[-1].at) is verdict
+    rows = losses(lines)
+    assert [row.cause for row in rows] == ([cause.value] if cause else [])
+    assert sum(row.lost for row in rows) == (verdict is not Verdict.IN_TIME)
+
+
+def test_lines_of_others_are_left_out():
+    found = parse_lines(["", "no line", "{", '{"at": 1}', *texts([(0, ACCEPTED)])])
+    assert [line.event for line in found] == ["job.accepted"]
+
+
+def test_the_command_reads_files_with_prefixes(tmp_path, capsys):
+    file = tmp_path / "lines"
+    story, _, cause = STORIES["no room"]
+    file.write_text("\n".join(f" 1.0 host {text}" for text in texts(story)))
+    assert run_command(["report", "losses", str(file), "--total"]) == 0
+    assert cause.value in capsys.readouterr().out
+
+
+def test_the_command_says_that_there_are_no_lines(tmp_path, capsys):
+    file = tmp_path / "lines"
+    file.write_text("nothing")
+    assert run_command(["report", "losses", str(file)]) == 1
+    assert "no line" in capsys.readouterr().err
