Let a takeover read jobs in progress only, and pass it on where it does not end

Cause: the successor of a planned hand-over sat on a link of 10 Mbit/s. Its listing of all states (180 s of ended jobs) was cut off after 1.0 s and read again from its start, without end, while it extended its ownership: 17 s in which no job started.

Ruled out: a dead or silent process (it answered pings, so nobody replaced it) and a store in trouble (others were answered).

Change: phases of ended jobs lie under a prefix of their own and are read in the background; a listing goes on as long as it makes progress; an owner that has not loaded after 3 s passes the work on and declines it for 30 s; hosts with under half of the largest processor or link come last in elections and hand-overs. The former test of ended jobs in the listing became two that are as strict: none are read before the first decision, and a request without a state is removed only once its end was read.

--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -75,7 +75,7 @@
                 unclear = unclear or isinstance(exc, StoreUnclear)
                 reason = str(exc)[:200]
             else:
-                if isinstance(result, Conflict) and keys.STATES + id not in result.items:
+                if isinstance(result, Conflict) and not _is_known(id, result):
                     # Not the owner that this process knows. Its successor finds the job by itself.
                     fence = 0
                     continue
@@ -144,8 +144,16 @@
         return Txn(put=(Put(key=keys.CANCELS + id, value=b"{}"),))
 
     async def _read(self, id: str) -> JobPhase | None:
-        item = await self.store.get(keys.STATES + id)
-        return None if item is None else decode_phase(item.value)
+        # In this order: a job that ends between the two reads is found by the second.
+        for prefix in (keys.STATES, keys.ENDED):
+            item = await self.store.get(prefix + id)
+            if item is not None:
+                return decode_phase(item.value)
+        return None
+
+
+def _is_known(id: str, conflict: Conflict) -> bool:
+    return keys.STATES + id in conflict.items or keys.ENDED + id in conflict.items
 
 
 def _acceptance(id: str, value: bytes, fence: int) -> Txn:
@@ -154,7 +162,10 @@
     :param fence: the ownership that must be in force, so that its holder may be told of the job
         as its own; 0 for any.
     """
-    expect = [Expect(key=keys.STATES + id, revision=0)]
+    expect = [
+        Expect(key=keys.STATES + id, revision=0),
+        Expect(key=keys.ENDED + id, revision=0),
+    ]
     if fence:
         expect.append(Expect(key=keys.OWNER, revision=fence))
     return Txn(
--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -11,7 +11,14 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import Surroundings, Tenure
 from rhubarbferry.cell.following import PrefixFollower
-from rhubarbferry.cell.members import Member, Ownership, encode_member, rank, successors
+from rhubarbferry.cell.members import (
+    SUCCESSORS_ASKED,
+    Member,
+    Ownership,
+    encode_member,
+    rank,
+    successors,
+)
 from rhubarbferry.cell.term import Term
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.ports.store import (
@@ -32,8 +39,8 @@
 TURN_S = 0.12
 # How long a store that serves this process takes at most, when it is slow.
 REACH_S = 0.45
-# A planned stop asks this many others to take over, before it just removes the owner's key.
-SUCCESSORS_ASKED = 2
+# A process that could not load the work in time does not take it over again for this long.
+OVERLOADED_S = 30.0
 # Between two looks at a lease that has run out, until its keeper asks for another.
 LAPSED_S = 0.05
 # After a term that ended with a failure of this program, others get their turn first.
@@ -57,6 +64,7 @@
     _registered: int = 0
     _free_since: float | None = None
     _election: int = 0
+    _overloaded_until: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         self._follower = self.around.follow(keys.CONTROL)
@@ -124,7 +132,7 @@
         :param replaces: revision of the key that stands there, 0 for none.
         """
         lease = self.around.keeper.held()
-        if lease is None or self._draining or self.term is not None:
+        if lease is None or self._draining or self.term is not None or self._overloaded():
             return False
         try:
             ownership = await self._write_key(lease, replaces=replaces)
@@ -138,6 +146,9 @@
         self._won.set()
         return True
 
+    def _overloaded(self) -> bool:
+        return self.around.clock.monotonic() < self._overloaded_until
+
     async def _hand_over(self, term: Term) -> None:
         """Let another process replace the owner's key while this one still decides.
 
@@ -229,6 +240,9 @@
         if self._free_since is None:
             self._free_since = now
         place = rank(self._own(), self.around.view.members.values(), seed=self._election)
+        if self._overloaded():
+            # Only where nobody else does.
+            place += len(self.around.view.members)
         left = self._free_since + place * TURN_S - now
         if left > 0:
             await self._watch(left)
@@ -277,6 +291,10 @@
             logger.opt(exception=True).error("the term of ownership failed")
             failed = True
         self.term = None
+        if term.overloaded:
+            self._overloaded_until = self.around.clock.monotonic() + OVERLOADED_S
+            # Its successor has replaced the key, so there is none to remove.
+            self._handed_over = tenure.fence
         await self._give_up(term)
         self._follower.restart()
         if failed:
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -14,7 +14,6 @@
 from rhubarbferry.dispatch.record import (
     JobRecord,
     RecordError,
-    decode_phase,
     decode_request,
     encode_phase,
     restore_state,
@@ -44,13 +43,13 @@
 class Inbox:
     """Feeds the dispatcher from the store.
 
-    :ivar states: the jobs whose state was on record then, ended ones among them.
-    :ivar loaded: whether all that was on record at the takeover has been read.
+    :ivar loaded: whether all that was in progress at the takeover has been read.
+    :ivar without_state: inherited jobs that have no state, as those that have ended.
     """
 
     ctx: TermContext
     loaded: bool = False
-    states: tuple[str, ...] = ()
+    without_state: set[str] = field(factory=set)
     _follower: PrefixFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -73,9 +72,6 @@
         assert isinstance(found, Listing)
         states = {item.key.removeprefix(keys.STATES): item for item in stored.items}
         self._take_listing(found, states)
-        for id, item in states.items():
-            self._note_if_ended(id, item)
-        self.states = tuple(states)
         self.loaded = True
 
     async def run(self) -> None:
@@ -128,15 +124,6 @@
         self.ctx.wake.set()
         return True
 
-    def _note_if_ended(self, id: str, state: KeyValue) -> None:
-        try:
-            phase = decode_phase(state.value)
-        except RecordError as exc:
-            self.ctx.around.log.emit("job.unreadable", job=id, reason=str(exc))
-            return
-        if phase.final:
-            self.ctx.dispatcher.ended[id] = phase
-
     def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
         control = (item for item in listing.items if item.key.startswith(keys.CONTROL))
         self.ctx.around.view.replace(control, revision=listing.revision)
@@ -164,12 +151,12 @@
         id = kv.key.removeprefix(keys.JOBS)
         # A listing may be older than the end of a job that it shows.
         dispatcher = self.ctx.dispatcher
-        if id in dispatcher.jobs or id in dispatcher.ended:
+        if id in dispatcher.jobs or id in dispatcher.ended or id in self.without_state:
             return
         inherited = kv.mod_revision < self.ctx.tenure.fence
         state = states.get(id)
         if state is None and inherited:
-            self.ctx.around.log.emit("job.unreadable", job=id, reason="it has no state")
+            self.without_state.add(id)
             return
         if state is None:
             # Acceptance writes the request and the state at one revision, and after it only
@@ -180,11 +167,6 @@
         except RecordError as exc:
             self.ctx.around.log.emit("job.unreadable", job=id, reason=str(exc))
             return
-        if job.phase.final:
-            # The owner before has recorded its end and not yet removed the request.
-            self.ctx.dispatcher.ended[id] = job.phase
-            self.ctx.removable.append(id)
-            return
         wall_s = self.ctx.around.clock.wall()
         self.ctx.dispatcher.add_job(job, now=self.ctx.now(), wall_s=wall_s)
         self.ctx.around.log.emit(
@@ -194,6 +176,7 @@
             revision=kv.mod_revision,
             inherited=inherited,
             tasks=sum(step.count for step in job.req.steps),
+            objective_s=round(job.objective_s, 3),
             outcome=job.phase.value,
         )
 
--- a/rhubarbferry/cell/keys.py
+++ b/rhubarbferry/cell/keys.py
@@ -11,5 +11,8 @@
 MEMBERS = "cell/control/members/"
 JOBS = "cell/work/jobs/"
 CANCELS = "cell/work/cancels/"
+# States of jobs in progress. A new owner reads all of them before it can decide.
 STATES = "state/"
+# Phases of jobs that have ended. They outnumber the jobs in progress, and no owner waits for them.
+ENDED = "ended/"
 ROSTER = "roster"
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -18,6 +18,8 @@
 
     :param address: ``ip:port`` of its calls from other processes.
     :param store_s: about how long the store's answers take to reach it.
+    :param cores: processor that its host gives it, 0 where it is not known.
+    :param link_mbps: bandwidth of its host's link, 0 where it is not known.
     """
 
     name: str
@@ -25,6 +27,8 @@
     region: str
     failure_domain: str
     store_s: float = 0.0
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
@@ -118,18 +122,49 @@
 
 # Round trips to the store that differ by less than this count as alike: another region adds 40 ms.
 ALIKE_S = 0.02
+# A host with less than this share of the largest processor or link in the cell is a weak one.
+WEAK_SHARE = 0.5
+# An owner that gives the work up asks this many others to take over.
+SUCCESSORS_ASKED = 2
+
+
+@frozen(kw_only=True, slots=True)
+class _Largest:
+    """The largest processor and link among the members of a cell."""
+
+    cores: float
+    link_mbps: float
+
+    @classmethod
+    def of(cls, members: Iterable[Member]) -> _Largest:
+        found = list(members)
+        return cls(
+            cores=max((member.cores for member in found), default=0.0),
+            link_mbps=max((member.link_mbps for member in found), default=0.0),
+        )
+
+    def is_weak(self, member: Member) -> bool:
+        """Tell whether an owner's work may be too much for a member while others can bear it."""
+        return (
+            member.cores < WEAK_SHARE * self.cores or member.link_mbps < WEAK_SHARE * self.link_mbps
+        )
 
 
 def successors(own: Member, view: CellView) -> list[Member]:
     """Return the other members in the order in which they are asked to take over as planned.
 
-    Those near the store come first. Among them goes first who has registered last: in a rolling
-    restart it is the one that will not be stopped next, and each further change of the owner
-    costs a pause in which nothing starts.
+    Those on weak hosts come last, and those near the store first. Among them goes first who has
+    registered last: in a rolling restart it is the one that will not be stopped next, and each
+    further change of the owner costs a pause in which nothing starts.
     """
+    largest = _Largest.of([own, *view.members.values()])
 
-    def place(member: Member) -> tuple[int, int]:
-        return _distance(member), -view.registered.get(member.name, 0)
+    def place(member: Member) -> tuple[bool, int, int]:
+        return (
+            largest.is_weak(member),
+            _distance(member),
+            -view.registered.get(member.name, 0),
+        )
 
     return sorted((m for m in view.members.values() if m.name != own.name), key=place)
 
@@ -141,16 +176,19 @@
 def rank(own: Member, members: Iterable[Member], *, seed: int) -> int:
     """Return the place of a member among those that may become owner next.
 
-    Those near the store come first. Each acceptance reaches the owner through the store, and each
-    end is recorded there before a client is told, so an owner in another region makes both 40 ms
-    later.
+    Those on weak hosts come last: an owner reads all that is in progress when it begins, and on a
+    small host may never get to decide. Of the others those near the store come first. Each
+    acceptance reaches the owner through the store, and each end is recorded there before a client
+    is told, so an owner in another region makes both 40 ms later.
 
     :param seed: changes the order among the others from one election to the next.
     """
+    others = [member for member in members if member.name != own.name]
+    largest = _Largest.of([own, *others])
 
-    def place(member: Member) -> tuple[int, int]:
+    def place(member: Member) -> tuple[bool, int, int]:
         weight = xxhash.xxh64_intdigest(member.name.encode(), seed=seed & 0xFFFFFFFF)
-        return _distance(member), weight
+        return largest.is_weak(member), _distance(member), weight
 
     mine = place(own)
-    return sum(1 for member in members if member.name != own.name and place(member) < mine)
+    return sum(1 for member in others if place(member) < mine)
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -29,8 +29,9 @@
     buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
 )
 
-# A transaction takes 32 entries: the owner's key, and for each job a condition and a write.
-JOBS_PER_TXN = 15
+# A transaction takes 32 entries: the owner's key, and for each job a condition, a write and, when
+# the job has ended, the removal of its former state.
+JOBS_PER_TXN = 10
 # Ends of jobs within this time share a transaction. It is added to what clients wait for an ended
 # job, and bounds the calls to 50 a second.
 GATHER_S = 0.02
@@ -101,11 +102,16 @@
         self.ctx.tenure.check()
         expect = [self.ctx.tenure.condition()]
         put = []
+        delete = []
         for shot in group:
             key = keys.STATES + shot.job.id
             expect.append(Expect(key=key, revision=shot.job.record_revision))
-            put.append(Put(key=key, value=shot.value))
-        txn = Txn(expect=tuple(expect), put=tuple(put))
+            if shot.final:
+                put.append(Put(key=keys.ENDED + shot.job.id, value=shot.value))
+                delete.append(key)
+            else:
+                put.append(Put(key=key, value=shot.value))
+        txn = Txn(expect=tuple(expect), put=tuple(put), delete=tuple(delete))
         try:
             result = await self.ctx.around.store.commit(txn)
         except StoreError as exc:
--- a/rhubarbferry/cell/settings.py
+++ b/rhubarbferry/cell/settings.py
@@ -26,9 +26,13 @@
     """Settings of one process.
 
     :param member: its name, unique in the cell.
+    :param cores: processor that its host gives it, 0 where it is not known.
+    :param link_mbps: bandwidth of its host's link, 0 where it is not known.
     """
 
     member: str
     region: str
     failure_domain: str
+    cores: float = 0.0
+    link_mbps: float = 0.0
     bounds: Bounds = Factory(Bounds)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -15,7 +15,7 @@
 from rhubarbferry.cell.host_watch import HostWatch
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.lease import TTL_S
-from rhubarbferry.cell.members import Member
+from rhubarbferry.cell.members import SUCCESSORS_ASKED, Member, successors
 from rhubarbferry.cell.orders import Orders
 from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
@@ -35,6 +35,9 @@
 # Waiting steps are looked at anew this often, should a change have been missed.
 REVIEW_S = 1.0
 RETRY_S = 0.2
+# An owner that has not read the work by then, though the store answers it, passes the work on. A
+# page of a listing takes a link of 5 Mbit/s 1.6 s.
+LOAD_S = 3.0
 # Between two looks at whether the store still answers this process.
 REACH_LOOK_S = 0.1
 # A host of the roster gets no new task before the host list has shown its capacity.
@@ -43,7 +46,10 @@
 
 @define(kw_only=True, eq=False)
 class Term:
-    """Owns the work of the cell until the ownership is lost or given up."""
+    """Owns the work of the cell until the ownership is lost or given up.
+
+    :ivar overloaded: whether it has passed the work on since it could not load it in time.
+    """
 
     around: Surroundings
     tenure: Tenure
@@ -58,6 +64,7 @@
     _reviewed_at: float = 0.0
     _took_over_at: float = field(init=False)
     _settled: bool = False
+    overloaded: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._took_over_at = self.around.clock.monotonic()
@@ -103,11 +110,12 @@
     async def run(self) -> None:
         """Own the work; return when that has ended."""
         try:
-            await self._load()
+            await self._load_or_pass_on()
             async with asyncio.TaskGroup() as self._tasks:
                 self._spawn(self._inbox.run())
                 self._spawn(self._recorder.run())
-                self._spawn(Cleaner(ctx=self.ctx).run(self._inbox.states))
+                cleaner = Cleaner(ctx=self.ctx, without_state=self._inbox.without_state)
+                self._spawn(cleaner.run())
                 self._spawn(self._follow_directory())
                 self._spawn(self._hand_over_if_cut_off())
                 await self._decide_forever()
@@ -124,6 +132,32 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.create_task(work)
 
+    async def _load_or_pass_on(self) -> None:
+        """Read what is on record.
+
+        A host whose link or processor is too small for it would read without end, and extend its
+        ownership all the while, so that no job starts.
+        """
+        loading = asyncio.create_task(self._load())
+        try:
+            while not loading.done():
+                await asyncio.wait({loading}, timeout=LOAD_S)
+                if not loading.done() and self.around.keeper.fresh():
+                    await self._pass_on()
+                self.tenure.check()
+            await loading
+        finally:
+            loading.cancel()
+            await asyncio.gather(loading, return_exceptions=True)
+
+    async def _pass_on(self) -> None:
+        """Let another process replace the owner's key, if one will."""
+        for member in successors(self.around.own, self.around.view)[:SUCCESSORS_ASKED]:
+            if await self.around.peers.take_over(member, self.tenure.fence):
+                self.overloaded = True
+                self.tenure.end(f"not loaded after {LOAD_S} s; passed on to {member.name}")
+                return
+
     async def _load(self) -> None:
         while True:
             self.tenure.check()
--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -70,6 +71,7 @@
         *,
         timeout_s: float,
         body: Any = None,
+        longest_s: float | None = None,
         query: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
     ) -> Answer:
@@ -78,6 +80,10 @@
         A connection may go silent for good without a reset. The time limit ends such a call,
         and its connection is dropped with it, so the next call opens a new one.
 
+        :param timeout_s: for the whole call; with ``longest_s`` for the first byte of the answer
+            and between two reads of it, so that a large answer may take its time on a slow link.
+        :param longest_s: for the whole call, where it may go on as long as it makes progress.
+
         :raises NotSent: when no connection could be made in time.
         :raises NoAnswer: when anything went wrong after that.
         """
@@ -87,10 +93,15 @@
             sent_headers["Content-Type"] = "application/json"
         progress = _Progress()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with (
+                asyncio.timeout(longest_s or timeout_s),
+                asyncio.timeout(timeout_s) as idle,
+            ):
+                extend = _extender(idle, timeout_s) if longest_s is not None else None
                 return await self._connect_and_send(
                     method,
                     url,
+                    extend,
                     data=data,
                     params=query,
                     headers=sent_headers,
@@ -101,18 +112,22 @@
                 raise NoAnswer(f"{method} {url}: {exc!r}") from exc
             raise NotSent(f"{method} {url}: {exc!r}") from exc
 
-    async def _connect_and_send(self, method: str, url: str, **options: Any) -> Answer:
+    async def _connect_and_send(
+        self, method: str, url: str, extend: Callable[[], None] | None, **options: Any
+    ) -> Answer:
         while True:
             try:
-                return await self._send(method, url, **options)
+                return await self._send(method, url, extend, **options)
             except aiohttp.ConnectionTimeoutError:
                 # The opening packet was lost, and nothing was sent. The system sends it again only
                 # after a second; another connection is there sooner.
                 continue
 
-    async def _send(self, method: str, url: str, **options: Any) -> Answer:
+    async def _send(
+        self, method: str, url: str, extend: Callable[[], None] | None, **options: Any
+    ) -> Answer:
         async with self._opened().request(method, url, **options) as resp:
-            payload = await resp.read()
+            payload = await resp.read() if extend is None else await _read_slowly(resp, extend)
             return Answer(status=resp.status, body=_decoded(payload), headers=resp.headers)
 
     def _opened(self) -> aiohttp.ClientSession:
@@ -134,6 +149,20 @@
             await self._session.close()
 
 
+def _extender(timeout: asyncio.Timeout, timeout_s: float) -> Callable[[], None]:
+    """Return what grants a call its time limit anew."""
+    loop = asyncio.get_running_loop()
+    return lambda: timeout.reschedule(loop.time() + timeout_s)
+
+
+async def _read_slowly(resp: aiohttp.ClientResponse, extend: Callable[[], None]) -> bytes:
+    chunks = []
+    async for chunk in resp.content.iter_any():
+        extend()
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _decoded(payload: bytes) -> Any:
     if not payload:
         return None
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -75,6 +75,8 @@
             address=addresses.peers,
             region=cfg.region,
             failure_domain=cfg.failure_domain,
+            cores=cfg.cores,
+            link_mbps=cfg.link_mbps,
         )
         self.store = PlatformStore(address=addresses.store)
         self.feed = ConfigurationFeed(
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -82,6 +82,9 @@
         region=reader.value("region", str),
         # The platform's zone is what this project calls a failure domain.
         failure_domain=reader.value("zone", str),
+        # The share is one of a core that is `cores` times as fast as the reference.
+        cores=reader.number("limits.cpuShare") * reader.number("limits.cores"),
+        link_mbps=reader.number("limits.linkMbps"),
         bounds=bounds,
     )
     return ProcessFile(
@@ -118,5 +121,9 @@
             raise SettingsFileError(f"{path}: {found!r} is of the wrong type; expected {kind}")
         return found
 
+    def number(self, path: str) -> float:
+        """Return a number, 0 where it is missing."""
+        return float(self.value(path, (int, float), 0.0))
+
     def seconds(self, path: str, default_ms: float) -> float:
         return self.value(path, (int, float), default_ms) / 1000
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -35,6 +35,8 @@
 
 # The store answers in 4 ms and, when slow, in up to 100 times that; one way adds 20 ms.
 CALL_S = 1.0
+# A page of a listing holds up to 1 MB, which takes a link of 5 Mbit/s 1.6 s without other traffic.
+PAGE_S = 8.0
 # Beyond the time that a watch waits by itself.
 WATCH_SLACK_S = 0.6
 # Pages hold at most about 500 items; a listing of more pages than this is no listing of ours.
@@ -64,7 +66,7 @@
         revision = 0
         query = {"prefix": prefix}
         for _ in range(MAX_PAGES):
-            body = _body(await self._read("list", "kv-range", query))
+            body = _body(await self._read("list", "kv-range", query, longest_s=PAGE_S))
             page = [_item(item) for item in body.get("items", [])]
             items += page
             # Pages are read one after the other. A watch from the first page's revision on
@@ -142,9 +144,11 @@
         """Give up connections."""
         await self._http.close()
 
-    async def _read(self, kind: str, path: str, query: Mapping[str, str]) -> Answer:
+    async def _read(
+        self, kind: str, path: str, query: Mapping[str, str], *, longest_s: float | None = None
+    ) -> Answer:
         try:
-            answer = await self._call(kind, "GET", path, query=dict(query))
+            answer = await self._call(kind, "GET", path, query=dict(query), longest_s=longest_s)
         except StoreUnclear as exc:
             # A read changes nothing, so it is never unclear.
             raise StoreUnavailable(str(exc)) from exc
@@ -161,6 +165,7 @@
         body: Any = None,
         query: dict[str, str] | None = None,
         timeout_s: float = CALL_S,
+        longest_s: float | None = None,
     ) -> Answer:
         CALLS.labels(kind).inc()
         try:
@@ -168,6 +173,7 @@
                 method,
                 f"http://{self.address}/api/{path}",
                 timeout_s=timeout_s,
+                longest_s=longest_s,
                 body=body,
                 query=query,
             )
--- a/tests/cell/parts.py
+++ b/tests/cell/parts.py
@@ -24,13 +24,13 @@
         return [fields.get("outcome") for name, fields in self.found if name == event]
 
 
-def member(name: str, *, address: str = "", store_s: float = 0.0) -> Member:
+def member(name: str, *, address: str = "", **fields: float) -> Member:
     return Member(
         name=name,
         address=address or f"{name}:1",
         region="region",
         failure_domain="domain",
-        store_s=store_s,
+        **fields,
     )
 
 
--- a/tests/cell/test_acceptance.py
+++ b/tests/cell/test_acceptance.py
@@ -13,6 +13,7 @@
 from rhubarbferry.cell.job_calls import Accepted
 from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.record import encode_phase
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Committed, Put, Txn
 
@@ -84,6 +85,17 @@
     assert len(owner.jobs) == owned
 
 
+async def test_a_job_that_has_ended_is_not_accepted_again(store):
+    """A copy of a submission arrives seconds after the job has ended. Accepted, it would run a
+    second time."""
+    value = encode_phase(JobPhase.COMPLETE)
+    await store.commit(Txn(put=(Put(key=keys.ENDED + ID, value=value),)))
+    calls = acceptance(store, Told(known_fence=await take_ownership(store)))
+    assert await calls.submit(record(ID), deadline=deadline()) is Accepted.YES
+    assert await store.get(keys.JOBS + ID) is None
+    assert await calls.phase(ID) is JobPhase.COMPLETE
+
+
 async def test_a_write_whose_answer_was_lost_is_found_again(store, stand_in):
     """The store accepts the job and its answer is lost. Said to be refused, the job would run
     all the same; so the process asks again until it knows."""
--- a/tests/cell/test_inbox.py
+++ b/tests/cell/test_inbox.py
@@ -8,15 +8,17 @@
 import pytest
 
 from rhubarbferry.cell import keys
+from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.context import OwnershipLost, Tenure, TermContext
 from rhubarbferry.cell.following import PrefixFollower
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.members import CellView, encode_member
 from rhubarbferry.cell.owned_work import AcceptedJob
+from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.job import JobPhase
-from rhubarbferry.dispatch.record import encode_phase, encode_request
+from rhubarbferry.dispatch.record import decode_phase, encode_phase, encode_request
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Put, Txn
@@ -27,10 +29,11 @@
 
 
 async def accept(store, id: str, phase: JobPhase = JobPhase.QUEUED, **fields) -> int:
+    state = (keys.ENDED if phase.final else keys.STATES) + id
     result = await store.commit(
         Txn(
             put=(
-                Put(key=keys.STATES + id, value=encode_phase(phase)),
+                Put(key=state, value=encode_phase(phase)),
                 Put(key=keys.JOBS + id, value=encode_request(record(id, **fields))),
             )
         )
@@ -71,15 +74,52 @@
     return AcceptedJob(id=id, record=value, revision=revision, fence=fence)
 
 
-async def test_jobs_on_record_are_inherited_and_ended_ones_only_known(store):
+async def test_jobs_on_record_are_inherited_and_ended_ones_are_not(store):
     await accept(store, "a")
     await accept(store, "b", JobPhase.COMPLETE)
     found = await inbox(store)
     await found.load()
     dispatcher = found.ctx.dispatcher
     assert [job.inherited for job in dispatcher.jobs.values()] == [True]
-    assert dispatcher.ended == {"b": JobPhase.COMPLETE}
-    assert found.ctx.removable == ["b"]
+    assert found.without_state == {"b"}
+
+
+async def test_a_takeover_reads_no_jobs_that_have_ended(store, stand_in):
+    """Jobs that ended in the last minutes outnumber those in progress. Were they read before the
+    first decision, an owner on a slow link would start nothing for seconds."""
+    for index in range(1200):
+        stand_in.put(f"{keys.ENDED}{index:016x}", {"phase": "complete"})
+    await accept(store, "a")
+    found = await inbox(store)
+    stand_in.calls.clear()
+    await found.load()
+    assert stand_in.calls["range"] == 2
+
+
+@pytest.mark.parametrize("ended", [True, False])
+async def test_a_request_without_a_state_is_removed_only_if_its_job_has_ended(store, ended):
+    """The request of an ended job lies in the store for another two seconds. One whose state is
+    missing for another reason must stay, for an operator to see."""
+    await accept(store, "a", JobPhase.COMPLETE)
+    if not ended:
+        await store.commit(Txn(delete=(keys.ENDED + "a",)))
+    found = await inbox(store)
+    await found.load()
+    cleaner = Cleaner(ctx=found.ctx, without_state=found.without_state)
+    await cleaner._load()
+    assert found.ctx.removable == (["a"] if ended else [])
+    assert found.ctx.dispatcher.ended == ({"a": JobPhase.COMPLETE} if ended else {})
+
+
+async def test_the_state_of_a_job_is_kept_apart_from_its_end_on(store):
+    found = await inbox(store)
+    await found.load()
+    revision = await accept(store, "a")
+    assert found.accepted(notice("a", revision=revision, fence=found.ctx.tenure.fence))
+    found.ctx.dispatcher.cancel_job("a")
+    assert await Recorder(ctx=found.ctx).flush()
+    assert await store.get(keys.STATES + "a") is None
+    assert decode_phase((await store.get(keys.ENDED + "a")).value) is JobPhase.CANCELLED
 
 
 @pytest.mark.parametrize(("ago_s", "age_s"), [(5.0, 5.0), (-5.0, 0.0), (4000.0, 0.0)])
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -19,6 +19,8 @@
 
 NEAR = 0.004
 FAR = 0.044
+STRONG = {"cores": 2.0, "link_mbps": 100.0}
+WEAK = {"a small processor": {"cores": 0.5}, "a slow link": {"link_mbps": 10.0}}
 
 CELLS = {
     "one near process among far ones": [("a", FAR), ("b", NEAR), ("c", FAR)],
@@ -110,6 +112,17 @@
     assert [each.name for each in successors(member("own"), view)] == ["b", "a", "c"]
 
 
+@pytest.mark.parametrize("lack", WEAK.values(), ids=WEAK.keys())
+def test_weak_hosts_come_last_however_near_the_store(lack):
+    """An owner on a host with a slow link can't read what is in progress while it is being asked
+    for news of 176 hosts, and no job starts."""
+    strong = member("far", store_s=FAR, **STRONG)
+    weak = member("near", store_s=NEAR, **{**STRONG, **lack})
+    assert [rank(each, [strong, weak], seed=1) for each in (strong, weak)] == [0, 1]
+    view = CellView(members={each.name: each for each in (strong, weak)})
+    assert [each.name for each in successors(member("own", **STRONG), view)] == ["far", "near"]
+
+
 def test_a_member_reads_back_as_written():
     one = member("a", store_s=0.012)
     assert decode_member(encode_member(one)) == one
--- /dev/null
+++ b/tests/cell/test_term.py
@@ -0,0 +1,87 @@
+"""The beginning of a term of ownership."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from rhubarbferry.cell import term as term_module
+from rhubarbferry.cell.context import Tenure
+from rhubarbferry.cell.members import CellView
+from rhubarbferry.cell.settings import CellSettings
+from rhubarbferry.cell.term import Term
+from rhubarbferry.ports.clock import SystemClock
+
+from .parts import Lines, member
+
+FENCE = 5
+LOAD_S = 0.05
+ENDS_S = 2.0
+
+
+class SlowStore:
+    """Answers renewals of the lease, and never comes to the end of a listing."""
+
+    async def get(self, key):
+        await asyncio.Event().wait()
+
+    async def list(self, prefix):
+        await asyncio.Event().wait()
+
+
+class Peers:
+    """Other processes, of which some take the work over."""
+
+    def __init__(self, *, willing: set[str]) -> None:
+        self.willing = willing
+        self.asked: list[str] = []
+
+    async def take_over(self, found, fence):
+        self.asked.append(found.name)
+        return found.name in self.willing
+
+
+def term(peers: Peers, *, fresh: bool) -> Term:
+    view = CellView(members={name: member(name) for name in ("own", "b", "c")})
+    lease = SimpleNamespace(id=1)
+    keeper = SimpleNamespace(held=lambda: lease, fresh=lambda: fresh)
+    follower = SimpleNamespace(restart=lambda: None, next=SlowStore().list)
+    around = SimpleNamespace(
+        cfg=CellSettings(member="own", region="r", failure_domain="d"),
+        clock=SystemClock(),
+        store=SlowStore(),
+        log=Lines(),
+        own=member("own"),
+        view=view,
+        keeper=keeper,
+        peers=peers,
+        follow=lambda prefix: follower,
+    )
+    return Term(around=around, tenure=Tenure(keeper=keeper, lease_id=1, fence=FENCE))
+
+
+@pytest.mark.parametrize("willing", [{"b"}, {"c"}])
+async def test_an_owner_that_can_not_load_the_work_passes_it_on(monkeypatch, willing):
+    """A process on a slow link wins the work. It would read what is on record without end and
+    extend its ownership all the while, so that no job starts for as long as it lives."""
+    monkeypatch.setattr(term_module, "LOAD_S", LOAD_S)
+    found = term(Peers(willing=willing), fresh=True)
+    await asyncio.wait_for(found.run(), ENDS_S)
+    assert found.overloaded
+    assert not found.tenure.holds()
+
+
+@pytest.mark.parametrize(
+    ("willing", "fresh"), [(set(), True), ({"b"}, False)], ids=["nobody else can", "an outage"]
+)
+async def test_an_owner_goes_on_loading_where_no_other_would_do_better(monkeypatch, willing, fresh):
+    monkeypatch.setattr(term_module, "LOAD_S", LOAD_S)
+    found = term(Peers(willing=willing), fresh=fresh)
+    running = asyncio.create_task(found.run())
+    await asyncio.sleep(4 * LOAD_S)
+    assert not running.done()
+    assert found.tenure.holds()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rhubarbferry.platform.http import JsonClient, NotSent
+from rhubarbferry.platform.http import JsonClient, NoAnswer, NotSent
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}"
 # The system sends a lost opening packet anew after this time.
@@ -26,6 +26,51 @@
         writer.close()
 
 
+# A large answer on a slow link: so many parts, each after this pause.
+PARTS = 8
+PART_S = 0.1
+PART = b" " * 1000
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (PARTS * len(PART))
+
+
+async def answer_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD)
+        for _ in range(PARTS):
+            await asyncio.sleep(PART_S)
+            writer.write(PART)
+            await writer.drain()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        pass
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("timeout_s", "longest_s", "whole"),
+    [(0.4, 3.0, True), (0.4, None, False), (0.4, 0.5, False), (0.05, 3.0, False)],
+)
+async def test_a_large_answer_may_take_its_time_while_it_makes_progress(
+    timeout_s, longest_s, whole
+):
+    """A listing takes a slow link longer than one time limit. Cut off there and read again from
+    its start each time, it would never end, and a new owner would never begin."""
+    server = await asyncio.start_server(answer_slowly, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = JsonClient()
+    call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=timeout_s, longest_s=longest_s)
+    try:
+        if whole:
+            assert (await call).status == 200
+        else:
+            with pytest.raises(NoAnswer):
+                await call
+    finally:
+        await client.close()
+        server.close()
+
+
 @pytest.fixture
 def full_queue():
     """A listening socket whose queue is full, so that opening packets are dropped."""
