--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -244,7 +244,9 @@
 
     def cause(self) -> Cause:
         """Return what it waited for most, its own work aside unless it waited for nothing."""
-        others = {cause: s for cause, s in self.waited.items() if cause is not Cause.WORK}
+        others: dict[Cause, float] = {
+            cause: s for cause, s in self.waited.items() if cause is not Cause.WORK
+        }
         most = max(others, key=lambda cause: others[cause], default=Cause.WORK)
         excess_s = self.waited[Cause.WORK] - self.objective_s
         return most if others.get(most, 0.0) > max(0.0, excess_s) else Cause.WORK
