Send a start again under its attempt when its answer is lost

Cause: a start without an answer was stopped, settled and begun anew under another attempt. On hosts that lose one order in 18 a gang of 20 broke two times in three, and the work of all its members with it.

Ruled out: waiting longer for the one answer (a connection on which an answer was lost brings no other).

A start that was not sent at all is sent again as well. A run that began with a second copy is stopped in a restarted host before its task goes elsewhere. The state machine gives each order of a host a fate of its own.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -65,6 +65,7 @@
             host=order.host,
             fence=fence,
             checkpoint=order.checkpoint or None,
+            retries=order.retries,
             took_s=round(took_s, 4),
             outcome=outcome,
         )
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -19,7 +19,6 @@
     PaceOrder,
     StartOrder,
     StopOrder,
-    Unanswered,
 )
 from rhubarbferry.ports.workers import FenceStale, WorkerError
 
@@ -71,11 +70,11 @@
         self.log.start(order, result, took_s=now - sent_at, fence=self.ctx.tenure.fence)
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
         self.ctx.wake.set()
-        if isinstance(result, Unanswered):
+        if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
             await self._settle(order)
 
     async def _settle(self, order: StartOrder) -> None:
-        """Find out what has become of a start without an answer.
+        """Find out what has become of a start whose tries got no clear answer.
 
         It may have been carried out, or may be, some seconds later. Until that is known its task
         can't start elsewhere. A look shows it if it runs; if not, a stop keeps it from starting
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -47,7 +47,12 @@
 # after failures of this many jobs with no success between.
 HOST_RULES = EjectionRules(distinct_failures=3, window_s=10.0, eject_s=3.0, max_eject_s=12.0)
 # Reasons that lie with the host, so that the next task would be refused as well.
-HOST_REFUSALS = (Refusal.NO_ROOM, Refusal.UNHEALTHY, Refusal.OTHER_HOST)
+HOST_REFUSALS = (
+    Refusal.NO_ROOM,
+    Refusal.UNHEALTHY,
+    Refusal.OTHER_HOST,
+    Refusal.NOT_SENT,
+)
 
 
 @define(kw_only=True, eq=False)
@@ -237,6 +242,7 @@
             if self._ejector.ejected():
                 # A host on probation takes one task at a time.
                 open_hosts = self._open_hosts(now)
+        orders += self.tracker.take_retries()
         orders += self.tracker.take_stops()
         orders += self.pacing.take_orders()
         return orders
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -8,7 +8,14 @@
 from attrs import Factory, define, field
 
 from rhubarbferry.dispatch.approvals import StepApprovals
-from rhubarbferry.dispatch.messages import JobRequest, Queue, StepId, StepRequest, TaskId
+from rhubarbferry.dispatch.messages import (
+    JobRequest,
+    Queue,
+    StartOrder,
+    StepId,
+    StepRequest,
+    TaskId,
+)
 from rhubarbferry.dispatch.objective import Standing, Urgency, standing, tails
 
 # From this progress on, what is left of a run is worked out from it; before, from its estimate.
@@ -55,6 +62,8 @@
     :param pace: the share of its speed in percent that its host has confirmed; ``None`` for a run
         that was found, as an earlier owner may have changed it.
     :param pace_sent_at: when its pace was last ordered.
+    :param order: the start as last sent; ``None`` for a run that was found.
+    :param unanswered: whether a copy of the start was sent and not answered.
     """
 
     task: Task
@@ -70,6 +79,8 @@
     tail_s: float = 0.0
     pace: int | None = None
     pace_sent_at: float = -math.inf
+    order: StartOrder | None = None
+    unanswered: bool = False
 
     def left_s(self, now: float) -> float:
         """Return about how long it will still take; it gets nowhere as long as it is stopping."""
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -284,6 +284,7 @@
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     OTHER_HOST = "other host"
+    NOT_SENT = "not sent"
 
 
 @frozen(kw_only=True, slots=True)
@@ -317,16 +318,22 @@
 class StartOrder:
     """Start one attempt of a task on a host.
 
+    :param incarnation: the life of the host that is meant.
     :param deadline_s: on the host's clock; the host refuses an order that arrives later.
+    :param timeout_s: how long to wait for the answer.
+    :param retries: how often this order has been sent before.
     """
 
     host: str
+    incarnation: int
     task: TaskId
     attempt: int
     payload: str
     deadline_s: float
+    timeout_s: float
     checkpoint: str = ""
     ticket: str = ""
+    retries: int = 0
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -7,6 +7,7 @@
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase, Step
 from rhubarbferry.dispatch.messages import StartOrder
+from rhubarbferry.dispatch.retries import START_TIMEOUTS_S
 
 # A reservation that has no ticket by then is given up: its room is wanted by others. Twice the
 # expected time of a question covers one that got no answer and was asked again.
@@ -71,12 +72,15 @@
     host.held_until_s = max(host.held_until_s, run.deadline_s)
     task.attempt = run.attempt
     task.step.ever_started = True
-    return StartOrder(
+    run.order = StartOrder(
         host=host.id,
+        incarnation=host.entry.incarnation,
         task=task.id,
         attempt=run.attempt,
         payload=task.step.job.req.payload,
         deadline_s=run.deadline_s,
+        timeout_s=START_TIMEOUTS_S[0],
         checkpoint=task.checkpoint if checkpoint is None else checkpoint,
         ticket=ticket,
     )
+    return run.order
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -19,10 +19,12 @@
     Refused,
     RunningTask,
     Started,
+    StartOrder,
     StopOrder,
     TaskId,
     Unanswered,
 )
+from rhubarbferry.dispatch.retries import next_try
 
 # Hosts list at most this many ends in one report; a longer list goes on in the next.
 ENDS_PER_REPORT = 500
@@ -72,6 +74,7 @@
     :param jobs: the jobs that have not ended, by id.
     :param lease_s: longest task lease that a host grants.
     :ivar stops: orders to stop runs, to be taken by the caller.
+    :ivar retries: starts to be sent again, to be taken by the caller.
     :ivar changed: hosts whose room or state has changed since the last look.
     """
 
@@ -79,6 +82,7 @@
     lease_s: float
     hosts: dict[str, Host] = Factory(dict)
     stops: list[StopOrder] = Factory(list)
+    retries: list[StartOrder] = Factory(list)
     changed: set[str] = Factory(set)
 
     # ------------------------------------------------------------ the host list
@@ -117,7 +121,8 @@
     def _reborn(self, host: Host, entry: HostEntry) -> list[Outcome]:
         outcomes: list[Outcome] = []
         for run in list(host.runs.values()):
-            if run.phase in (RunPhase.RUNNING, RunPhase.RESERVED):
+            settled = run.phase is RunPhase.RUNNING and not run.unanswered
+            if settled or run.phase is RunPhase.RESERVED:
                 outcomes.append(self._over(host, run, EndKind.LAPSED, "the host started anew"))
                 continue
             # The order may be carried out by the new life as well, whose clock starts anew:
@@ -281,9 +286,15 @@
                     run.deadline_s = clock_s
                     run.progress_at = now
                 return []
+            case Refused(reason=Refusal.NOT_SENT) if self._retry(host, run, now):
+                return []
             case Refused(reason=reason):
                 if run.phase is RunPhase.RUNNING:
                     return []
+                if run.unanswered:
+                    # It speaks for this copy only; an earlier one may yet be carried out.
+                    self._note_unclear(host, run, now)
+                    return []
                 run.phase = RunPhase.RESERVED
                 host.remove(run)
                 self.changed.add(host.id)
@@ -299,11 +310,24 @@
                     )
                 ]
             case Unanswered():
-                if run.phase is RunPhase.ORDERED:
-                    run.phase = RunPhase.UNCLEAR
-                    host.blocked_until = now + UNANSWERED_PAUSE_S
+                run.unanswered = True
+                if not self._retry(host, run, now):
+                    self._note_unclear(host, run, now)
                 return []
 
+    def _retry(self, host: Host, run: Run, now: float) -> bool:
+        order = next_try(run, host, now)
+        if order is None:
+            return False
+        run.order = order
+        self.retries.append(order)
+        return True
+
+    def _note_unclear(self, host: Host, run: Run, now: float) -> None:
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.UNCLEAR
+            host.blocked_until = max(host.blocked_until, now + UNANSWERED_PAUSE_S)
+
     def stop_answered(self, host: Host, run_key: tuple[TaskId, int], clock_s: float) -> None:
         """Note that a host took a stop: from now on it refuses to start that run."""
         run = host.runs.get(run_key)
@@ -348,6 +372,11 @@
         stops, self.stops = self.stops, []
         return stops
 
+    def take_retries(self) -> list[StartOrder]:
+        """Return the starts to be sent again since the last call."""
+        retries, self.retries = self.retries, []
+        return retries
+
     def task(self, id: TaskId) -> Task | None:
         """Return a task of a job that has not ended."""
         job = self.jobs.get(id.job)
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -85,10 +85,12 @@
         if order.ticket:
             body["ticket"] = order.ticket
         try:
-            answer = await self._send(self._http, host, "run-start", body, timeout_s=ORDER_S)
+            answer = await self._send(
+                self._http, host, "run-start", body, timeout_s=order.timeout_s
+            )
         except NotSent:
             # No byte went out, so the host can't have started it.
-            return Refused(reason=Refusal.UNHEALTHY)
+            return Refused(reason=Refusal.NOT_SENT)
         except NoAnswer as exc:
             return Unanswered(detail=str(exc))
         return _start_result(answer)
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -81,7 +81,7 @@
         self.ended: dict[str, JobPhase] = {}
         self.cut: set[str] = set()
         self.roster: dict[str, RosterEntry] = {}
-        self.fates: dict[str, Fate] = {}
+        self.fates: dict[str, list[Fate]] = {}
         for index, rate in enumerate(rates):
             host = HostModel(id=f"h{index}", oracle=self.oracle, rate=rate)
             self.oracle.hosts[host.id] = host
@@ -121,9 +121,13 @@
         for _ in range(ticks):
             self.tick()
 
-    @rule(host=st.integers(0, HOSTS - 1), fate=st.sampled_from(Fate))
-    def orders_meet(self, host, fate):
-        self.fates[f"h{host}"] = fate
+    @rule(
+        host=st.integers(0, HOSTS - 1),
+        fates=st.lists(st.sampled_from(Fate), min_size=1, max_size=4),
+    )
+    def orders_meet(self, host, fates):
+        """The next orders to a host meet these in turn, and all later ones the last of them."""
+        self.fates[f"h{host}"] = fates
 
     @rule(host=st.integers(0, HOSTS - 1))
     def cut_off(self, host):
@@ -253,7 +257,10 @@
 
     def send(self, order) -> None:
         host = self.oracle.hosts[order.host]
-        fate = Fate.LOST if host.id in self.cut else self.fates.get(host.id, Fate.ANSWERED)
+        fates = self.fates.get(host.id, [Fate.ANSWERED])
+        fate = fates.pop(0) if len(fates) > 1 else fates[0]
+        if host.id in self.cut:
+            fate = Fate.LOST
         if host.dead:
             fate = Fate.LOST
         result = None
--- /dev/null
+++ b/tests/dispatch/test_retries.py
@@ -0,0 +1,142 @@
+"""Starts whose answers are lost: hosts that carry out orders late, twice, or without an answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbferry.dispatch.job import RunPhase
+from rhubarbferry.dispatch.messages import Refusal, Refused, Started, StopOrder, Unanswered
+from rhubarbferry.dispatch.retries import START_TIMEOUTS_S
+
+from .world import World, job, step
+
+TIMEOUT_S = START_TIMEOUTS_S[0]
+
+
+def first_start(world: World):
+    (order,) = world.starts()
+    return order
+
+
+def run_of(world: World, order):
+    return world.dispatcher.tracker.hosts[order.host].runs.get((order.task, order.attempt))
+
+
+def test_wide_gangs_survive_lost_answers():
+    """A gang of 20 on hosts that lose one answer in 18. Begun anew for each lost answer, two of
+    three such gangs would break, and the work of all members with them."""
+    world = World(*(f"h{index}" for index in range(20)), millicores=1000)
+    world.add(job("g", step(20, gang=True)))
+    orders = world.starts()
+    lost = orders[::18]
+    world.accept(*(order for order in orders if order not in lost))
+    for order in lost:
+        world.hosts[order.host].run(order)
+        world.answer(order, Unanswered())
+    again = world.starts(TIMEOUT_S)
+    assert [(o.host, o.task, o.attempt) for o in again] == [
+        (o.host, o.task, o.attempt) for o in lost
+    ]
+    world.accept(*again)
+    later = world.decide(1.0)
+    assert not [order for order in later if isinstance(order, StopOrder)]
+    assert all(run.phase is RunPhase.RUNNING for run in world.dispatcher.jobs["g"].runs())
+
+
+def test_the_tries_of_a_start_end():
+    """A host answers nothing for good. Sent without end, its task would never start elsewhere."""
+    world = World("a")
+    world.add(job("j", step()))
+    order = first_start(world)
+    for timeout_s in START_TIMEOUTS_S[1:]:
+        world.answer(order, Unanswered())
+        (order,) = world.starts(order.timeout_s)
+        assert order.timeout_s == timeout_s
+    world.answer(order, Unanswered())
+    assert world.starts(order.timeout_s) == []
+    assert run_of(world, order).phase is RunPhase.UNCLEAR
+
+
+@pytest.mark.parametrize("reason", [Refusal.NO_ROOM, Refusal.OLD_ATTEMPT, Refusal.NO_TICKET])
+def test_a_refused_copy_says_nothing_of_the_copy_before(reason):
+    """The first copy is under way for seconds, the second one is refused. Taken for the answer to
+    both, the task would start elsewhere and then run twice."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    world.answer(order, Unanswered())
+    (again,) = world.starts(TIMEOUT_S)
+    world.answer(again, Refused(reason=reason))
+    assert world.starts(0.1) == []
+    assert run_of(world, order).phase is RunPhase.UNCLEAR
+
+
+def test_a_start_that_was_not_sent_is_sent_at_once():
+    """The opening packet of a connection is lost. Nothing was sent, so a refusal after all tries
+    is final and the task may start elsewhere."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    for _ in START_TIMEOUTS_S[1:]:
+        world.answer(order, Refused(reason=Refusal.NOT_SENT))
+        (order,) = world.starts(order.timeout_s)
+    world.answer(order, Refused(reason=Refusal.NOT_SENT))
+    (elsewhere,) = world.starts(order.timeout_s)
+    assert elsewhere.host != order.host
+
+
+def test_a_restarted_host_gets_no_second_copy():
+    """A host crashes and comes back under its id. Its new life would carry out both copies."""
+    world = World("a")
+    world.add(job("j", step()))
+    order = first_start(world)
+    world.hosts["a"].incarnation = 2
+    world.hosts["a"].clock_offset = 0.0
+    world.hear()
+    world.answer(order, Unanswered())
+    assert world.starts(TIMEOUT_S) == []
+
+
+def test_a_run_that_began_with_a_second_copy_is_stopped_in_a_restarted_host():
+    """The second copy of a start is carried out, and then the host restarts. The first copy may
+    still arrive there; were the task started elsewhere by then, it would run twice."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    world.answer(order, Unanswered())
+    world.accept(*world.starts(TIMEOUT_S))
+    part = world.hosts[order.host]
+    part.running.clear()
+    part.incarnation = 2
+    part.clock_offset = 0.0
+    world.hear()
+    (stop,) = world.decide(0.1)
+    assert isinstance(stop, StopOrder)
+    assert stop.host == order.host
+    world.dispatcher.stop_answered(stop.host, stop.task, stop.attempt, world.now)
+    world.now += 0.1
+    world.hear()
+    assert [item.task for item in world.starts()] == [order.task]
+
+
+def test_a_stopped_start_is_not_sent_again():
+    """A client cancels its job while the start is under way. A copy after the stop is useless."""
+    world = World("a")
+    world.add(job("j", step()))
+    order = first_start(world)
+    world.dispatcher.cancel_job("j")
+    world.answer(order, Unanswered())
+    assert world.starts(TIMEOUT_S) == []
+
+
+def test_a_late_answer_to_an_earlier_copy_counts():
+    """The answer to the first copy arrives while the second one is under way."""
+    world = World("a")
+    world.add(job("j", step()))
+    order = first_start(world)
+    world.answer(order, Unanswered())
+    (again,) = world.starts(TIMEOUT_S)
+    world.hosts["a"].run(order)
+    world.answer(order, Started(clock_s=world.now + 100.0))
+    world.answer(again, Refused(reason=Refusal.OLD_ATTEMPT))
+    assert run_of(world, order).phase is RunPhase.RUNNING
