Use the field's terms in the dispatcher, the cell and the adapter

last_report_at, restarted, unknown runs, unconfirmed hosts, look_once and lower_bound in place of heard_at, reborn, strangers, unheard, glance and surely; comments that spoke of what is told or heard say what happens. The line term.settled names the hosts that had not answered as 'unconfirmed'.

--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -180,10 +180,10 @@
     # ------------------------------------------------------------ hosts
 
     def _look(self, id: str) -> None:
-        self._heard(id)
+        self._report(id)
         self._at(self.now + LOOK_S, lambda: self._look(id))
 
-    def _heard(self, id: str) -> None:
+    def _report(self, id: str) -> None:
         host = self._hosts[id]
         state = self._dispatcher.tracker.hosts.get(id)
         if host.dead or state is None:
@@ -213,7 +213,7 @@
             capacity=entry.capacity,
         )
         self._dispatcher.host_listed(host.entry, now=self.now)
-        self._heard(id)
+        self._report(id)
 
     def _change_speed(self, id: str, times: float) -> None:
         """Let a host work faster or slower; gangs with a member there go at its pace."""
@@ -290,7 +290,7 @@
                 number=host.count, task=run[0], attempt=run[1], how=how, checkpoint=checkpoint
             )
         )
-        self._at(self.now + WAY_S, lambda: self._heard(host.entry.id))
+        self._at(self.now + WAY_S, lambda: self._report(host.entry.id))
 
     def _core_s(self, run: Run) -> float:
         step = self._arrivals[run[0].job].req.steps[run[0].step]
--- a/rhubarbferry/cell/acceptance.py
+++ b/rhubarbferry/cell/acceptance.py
@@ -42,8 +42,8 @@
 class Acceptance:
     """Clients' jobs in the store. It needs no owner: any process accepts at any time.
 
-    :param owner: told of each new job, so that it starts at once.
-    :param reached: tells whether the store answers this process now. While it does not, calls
+    :param owner: notified of each new job, so that it starts at once.
+    :param reached: whether the store answers this process now. While it does not, calls
         that would only fail are not sent: in an outage they would multiply, and be paid for.
     """
 
@@ -159,7 +159,7 @@
 def _acceptance(id: str, value: bytes, fence: int) -> Txn:
     """Return the transaction that accepts a job.
 
-    :param fence: the ownership that must be in force, so that its holder may be told of the job
+    :param fence: the ownership that must be in force, so that its holder may take the job
         as its own; 0 for any.
     """
     expect = [
--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -117,7 +117,7 @@
 
         Its lease is ended first, and its key goes with that. It may be alive and only cut off from
         this process: were just the key replaced, it could go on to extend its lease, and would act
-        until it hears of that, longer than its successor waits for hosts that only it can reach.
+        until it learns of that, longer than its successor waits for hosts that only it can reach.
         """
         try:
             await self.around.store.revoke_lease(ownership.lease_id)
@@ -152,7 +152,7 @@
     async def _hand_over(self, term: Term) -> None:
         """Let another process replace the owner's key while this one still decides.
 
-        Were the key removed first, nothing would start until another process has heard of it,
+        Were the key removed first, nothing would start until another process has seen it,
         has had its turn and has written its own: 5 s of a rolling restart beside a slow store.
         """
         fence = term.tenure.fence
@@ -207,7 +207,7 @@
         won = asyncio.ensure_future(self._won.wait())
         try:
             await asyncio.wait({change, won}, return_when=asyncio.FIRST_COMPLETED)
-            # Told once: were it told again, this watch would never hear of anything any more.
+            # Left set, it would end every later watch before a change can arrive.
             self._won.clear()
             if not change.done():
                 return
--- a/rhubarbferry/cell/context.py
+++ b/rhubarbferry/cell/context.py
@@ -93,7 +93,7 @@
 
     :ivar wake: set when there may be something to decide.
     :ivar record: set when there may be something to write.
-    :ivar job_ended: set when a job has ended, which its client waits to be told.
+    :ivar job_ended: set when a job has ended, as its client waits for that.
     :ivar removable: jobs on record as ended whose requests can be removed.
     """
 
--- a/rhubarbferry/cell/detour.py
+++ b/rhubarbferry/cell/detour.py
@@ -41,7 +41,7 @@
     clients would be refused, or wait in vain for their whole time, though the cell is well.
 
     :param owner: answers questions about jobs in progress, which saves calls to the store.
-    :param reached: tells whether the store answers this process now.
+    :param reached: whether the store answers this process now.
     """
 
     clock: Clock
--- a/rhubarbferry/cell/following.py
+++ b/rhubarbferry/cell/following.py
@@ -8,7 +8,7 @@
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import Changes, Listing, TxnStore, WatchBroken
 
-# A watch goes on from the last change that it has heard. Where nothing changes, that point grows
+# A watch goes on from the last change that it has seen. Where nothing changes, that point grows
 # older than the history that the store keeps, and the watch would be refused; a listing before
 # then moves it on. As a share of that history.
 LISTING_SHARE = 0.75
--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -1,4 +1,4 @@
-"""Keep in touch with one host: extend its task leases and hear what has ended."""
+"""Poll one host: extend its task leases and learn what has ended."""
 
 from __future__ import annotations
 
@@ -54,10 +54,10 @@
     def _pause_s(self, host: Host) -> float:
         if not host.adopted:
             return FIRST_RETRY_S
-        silent = self.ctx.now() - host.heard_at >= SILENT_S
+        silent = self.ctx.now() - host.last_report_at >= SILENT_S
         return SILENT_RETRY_S if silent else RETRY_S
 
-    async def glance(self) -> None:
+    async def look_once(self) -> None:
         """Look once, without waiting for an end."""
         host = self.ctx.dispatcher.tracker.hosts.get(self.id)
         if host is not None and self.ctx.tenure.holds():
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -106,7 +106,7 @@
         self.ctx.wake.set()
 
     def accepted(self, job: AcceptedJob) -> bool:
-        """Take on a job that another process tells of, before the watch shows it.
+        """Take on a job from another process's notice, before the watch shows it.
 
         The process has accepted it under the condition that the owner's key stood at ``fence``.
         Without that a job accepted after a takeover could reach the owner before, which would
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -24,7 +24,7 @@
 
 @define(kw_only=True, eq=False)
 class LeaseKeeper:
-    """Open a lease and extend it until told to stop.
+    """Open a lease and extend it until cancelled.
 
     :ivar answered_at: when the store last granted or extended it.
     :ivar round_trip_s: how long the last grant took.
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -103,8 +103,8 @@
     def owned(self, ownership: Ownership) -> None:
         """Note who owns the work, unless a later owner is known.
 
-        A process that becomes the owner knows it from the answer to its write, and only then hears
-        from its watch how the former owner's key has gone. Taken for its own, it would wait for a
+        A process that becomes the owner knows it from the answer to its write, and only then sees
+        in its watch how the former owner's key has gone. Taken for its own, it would wait for a
         key that it has, and nobody would do the work.
         """
         if self.ownership is None or ownership.fence >= self.ownership.fence:
@@ -179,7 +179,7 @@
     Those on weak hosts come last: an owner reads all that is in progress when it begins, and on a
     small host may never get to decide. Of the others those near the store come first. Each
     acceptance reaches the owner through the store, and each end is recorded there before a client
-    is told, so an owner in another region makes both 40 ms later.
+    sees it, so an owner in another region makes both 40 ms later.
 
     :param seed: changes the order among the others from one election to the next.
     """
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -81,7 +81,7 @@
         later, and a second look shows which of the two came first.
         """
         watch = HostWatch(ctx=self.ctx, id=order.host)
-        await watch.glance()
+        await watch.look_once()
         if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
             await self._stop(
                 StopOrder(
@@ -91,7 +91,7 @@
                     reason="its start was not answered",
                 )
             )
-            await watch.glance()
+            await watch.look_once()
 
     async def _stop(self, order: StopOrder) -> None:
         host = self.ctx.dispatcher.tracker.hosts.get(order.host)
--- a/rhubarbferry/cell/owned_work.py
+++ b/rhubarbferry/cell/owned_work.py
@@ -1,4 +1,4 @@
-"""What the owner of the work is told and asked, in its own process or by another."""
+"""Calls to the owner of the work, in its own process or from another."""
 
 from __future__ import annotations
 
--- a/rhubarbferry/cell/owner_link.py
+++ b/rhubarbferry/cell/owner_link.py
@@ -1,4 +1,4 @@
-"""What a process tells the owner of the work, and asks it, without a call to the store."""
+"""Notices and questions to the owner of the work, without a call to the store."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
     term: Callable[[], OwnedWork | None]
     _counts: dict[str, tuple[float, int]] = field(factory=dict)
     _notices: set[asyncio.Task[None]] = field(factory=set)
-    _unheard_fence: int = 0
+    _silent_fence: int = 0
     _ask_after: float = 0.0
 
     def fence(self) -> int:
@@ -48,7 +48,7 @@
     def accepted(self, job: AcceptedJob) -> None:
         """Tell the owner of a job, without waiting.
 
-        The owner follows the store and sees the job there in any case. Told at once, it starts
+        The owner follows the store and sees the job there in any case. Notified at once, it starts
         the job while its own watch may take its time: one call for many jobs in place of one
         for each.
         """
@@ -65,7 +65,7 @@
 
     async def _tell(self, owner: Member, job: AcceptedJob) -> None:
         taken = await self.peers.job_accepted(owner, job)
-        ASKED.labels("told" if taken else "not told").inc()
+        ASKED.labels("notified" if taken else "not notified").inc()
 
     async def phase(self, id: str) -> JobPhase | None:
         """Return the phase of a job as the owner knows it, or ``None`` when it can't say."""
@@ -76,11 +76,11 @@
         if ownership is None or ownership.owner.name == self.own.name:
             return None
         now = self.clock.monotonic()
-        if ownership.fence == self._unheard_fence and now < self._ask_after:
+        if ownership.fence == self._silent_fence and now < self._ask_after:
             return None
         found = await self.peers.owned_phase(ownership.owner, id, timeout_s=OWNER_S)
         if isinstance(found, Silence):
-            self._unheard_fence = ownership.fence
+            self._silent_fence = ownership.fence
             self._ask_after = now + OWNER_PAUSE_S
             ASKED.labels("no answer").inc()
             return None
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -35,7 +35,7 @@
 # Ends of jobs within this time share a transaction. It is added to what clients wait for an ended
 # job, and bounds the calls to 50 a second.
 GATHER_S = 0.02
-# Other changes wait this long for company: nobody is told of them, and the hosts keep the ends
+# Other changes wait this long for company: no client sees them, and the hosts keep the ends
 # until they are on record.
 PATIENCE_S = 0.15
 RETRY_S = 0.15
@@ -123,13 +123,13 @@
             return False
         match result:
             case Committed(revision=revision):
-                self._stands(group, revision)
+                self._note_committed(group, revision)
                 return True
             case Conflict():
                 self._conflict(group, result)
         return False
 
-    def _stands(self, group: list[_Snapshot], revision: int) -> None:
+    def _note_committed(self, group: list[_Snapshot], revision: int) -> None:
         for shot in group:
             shot.job.record_revision = revision
             RECORDED.inc()
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -171,12 +171,12 @@
                 self.around.log.emit("term.not_loaded", reason=str(exc))
                 await asyncio.sleep(RETRY_S)
         succession = self.ctx.dispatcher.succession
-        succession.unheard = dict(self._roster.entries)
+        succession.unconfirmed = dict(self._roster.entries)
         self.around.log.emit(
             "term.loaded",
             fence=self.tenure.fence,
             jobs=len(self.ctx.dispatcher.jobs),
-            hosts=len(succession.unheard),
+            hosts=len(succession.unconfirmed),
         )
 
     async def _hand_over_if_cut_off(self) -> None:
@@ -260,8 +260,8 @@
         hosts = self.ctx.dispatcher.tracker.hosts
         now = self.ctx.now()
         close_hosts(hosts, now)
-        unheard = self.ctx.dispatcher.succession.unheard
-        entries = next_roster(self._roster.entries, listed, hosts, unheard=unheard, now=now)
+        unconfirmed = self.ctx.dispatcher.succession.unconfirmed
+        entries = next_roster(self._roster.entries, listed, hosts, unconfirmed=unconfirmed, now=now)
         if await self._roster.update(entries):
             follow_record(entries, hosts)
 
@@ -310,17 +310,17 @@
         if now - self._reviewed_at >= REVIEW_S:
             self._reviewed_at = now
             dispatcher.retry()
-        unheard = list(dispatcher.succession.unheard)
+        unconfirmed = list(dispatcher.succession.unconfirmed)
         orders = dispatcher.decide(now=now, wall_s=self.around.clock.wall())
-        self._note_settled(unheard, now)
+        self._note_settled(unconfirmed, now)
         self._log.outcomes(dispatcher)
         for order in orders:
             self._orders.carry_out(order)
         self._orders.ask(self._members())
         self.ctx.note_changes()
 
-    def _note_settled(self, unheard: list[str], now: float) -> None:
-        """Tell once from when on all inherited jobs go on, and which hosts were not heard."""
+    def _note_settled(self, unconfirmed: list[str], now: float) -> None:
+        """Log once when all inherited jobs may go on, and which hosts had not answered."""
         if self._settled or not self.ctx.dispatcher.settled:
             return
         self._settled = True
@@ -328,7 +328,7 @@
             "term.settled",
             fence=self.tenure.fence,
             waited_s=round(now - self._took_over_at, 3),
-            unheard=unheard,
+            unconfirmed=unconfirmed,
         )
 
     def _members(self) -> list[Member]:
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -144,7 +144,7 @@
 
     def host_gone(self, id: str, *, now: float) -> None:
         """Note that a host's life is over for sure."""
-        self.succession.heard(id)
+        self.succession.note_report(id)
         host = self.tracker.hosts.get(id)
         if host is not None:
             self._apply(self.tracker.host_gone(host), now)
@@ -154,9 +154,9 @@
         host = self.tracker.hosts.get(id)
         if host is None:
             return
-        self.succession.heard(id)
+        self.succession.note_report(id)
         self._apply(self.tracker.reported(host, report, sent_at=sent_at, now=now), now)
-        self.pacing.heard(host, now)
+        self.pacing.note_report(host, now)
         self._stop_hung(host, now)
         for run in runs_to_leave(host, now):
             self.tracker.stop_all_of(run, "its host leaves before it can end")
@@ -221,7 +221,7 @@
         :param wall_s: time of day, for jobs that start by it.
         """
         orders: list[Order] = []
-        self._apply(self.tracker.lapse(now, keep=self.succession.unheard), now)
+        self._apply(self.tracker.lapse(now, keep=self.succession.unconfirmed), now)
         for job in list(self._timed.values()):
             job.make_due(now, wall_s)
             self._open_steps(job, now)
@@ -434,7 +434,7 @@
             self.tracker.stop(run, "the task is done")
 
     def _settle(self, now: float) -> None:
-        """Go on with the inherited jobs of which all that may run has been heard of."""
+        """Resume the inherited jobs whose runs are all confirmed or over."""
         if not self._unsettled:
             return
         self.succession.pass_time(now)
@@ -449,7 +449,7 @@
 
     @property
     def settled(self) -> bool:
-        """Whether no inherited job waits for hosts that have not been heard."""
+        """Whether no inherited job waits for unconfirmed hosts."""
         return not self._unsettled
 
     def _stop_hung(self, host: Host, now: float) -> None:
--- a/rhubarbferry/dispatch/holds.py
+++ b/rhubarbferry/dispatch/holds.py
@@ -13,7 +13,7 @@
 from rhubarbferry.dispatch.placement import could_run, slots_on
 from rhubarbferry.dispatch.waiting import Order
 
-# A stopped task is gone within a second, and its end is heard of soon after. Room that was not
+# A stopped task is gone within a second, and its end is reported soon after. Room that was not
 # taken by then is given back to others.
 HOLD_S = 2.5
 # After a hold that came to nothing, before the next one for the same step.
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -19,20 +19,20 @@
 
     :param clock_s: what it showed when it answered.
     :param sent_at: our time before the call was sent.
-    :param heard_at: our time when the answer arrived.
+    :param received_at: our time when the answer arrived.
     """
 
     clock_s: float
     sent_at: float
-    heard_at: float
+    received_at: float
 
     def estimate(self, now: float) -> float:
         """Return about what it shows now; it may show a little more, by the way back."""
-        return self.clock_s + now - self.heard_at
+        return self.clock_s + now - self.received_at
 
-    def surely(self, now: float) -> float:
+    def lower_bound(self, now: float) -> float:
         """Return what it shows at least, even where it runs slow."""
-        return self.clock_s + (now - self.heard_at) * (1 - CLOCK_DRIFT)
+        return self.clock_s + (now - self.received_at) * (1 - CLOCK_DRIFT)
 
 
 # A host that has not answered for this long gets no new tasks: it may be gone, or cut off. Looks
@@ -52,13 +52,13 @@
     :param held_until_s: on its own clock, the end of the task leases that were asked for.
     :param seen_end: highest number of an end that has been worked in.
     :param recorded_end: highest number whose ends stand in the store.
-    :param strangers: runs of jobs that have ended or are unknown, with the time of the last order
-        to stop them. What they take up is not known, so until they are gone the host gets no
+    :param unknown_runs: runs of jobs that have ended or are unknown, with the time of the last
+        order to stop them. What they take up is not known, so until they are gone the host gets no
         tasks; it would be given more than it holds.
     :param closed: it gets no orders to start tasks, as the next owner may take it for idle.
     :param blocked_until: it gets no new tasks before this time.
     :param leaves_at: while it is draining, until when it stays at least; it is the earliest time
-        that its entries have told, as each is up to a heartbeat old when it is read.
+        given by its entries, as each is up to a heartbeat old when it is read.
     :param was_open: whether it took tasks at the last decision.
     """
 
@@ -68,12 +68,12 @@
     closed: bool = False
     used: Sizes = field(factory=Sizes)
     runs: dict[RunKey, Run] = Factory(dict)
-    strangers: dict[RunKey, float] = Factory(dict)
+    unknown_runs: dict[RunKey, float] = Factory(dict)
     clock: HostClock | None = None
     held_until_s: float = 0.0
     seen_end: int = 0
     recorded_end: int = 0
-    heard_at: float = 0.0
+    last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
     was_open: bool = False
@@ -107,10 +107,10 @@
             and self.adopted
             and not self.closed
             and self.clock is not None
-            and not self.strangers
+            and not self.unknown_runs
             and self.entry.phase is HostPhase.READY
             and now >= self.blocked_until
-            and now - self.heard_at < SILENT_S
+            and now - self.last_report_at < SILENT_S
         )
 
     def hold(self, now: float, hold_s: float) -> float | None:
@@ -121,7 +121,7 @@
         may have been carried out. Were a silent host's leases extended with each try, they
         would never count as over, and the tasks of a host that has died would wait for ever.
         """
-        if self.clock is None or now - self.heard_at >= SILENT_S:
+        if self.clock is None or now - self.last_report_at >= SILENT_S:
             return None
         until = self.clock.estimate(now) + hold_s
         self.held_until_s = max(self.held_until_s, until)
@@ -145,17 +145,19 @@
         if self.runs.pop((run.task.id, run.attempt), None) is not None:
             self.used = self.used.minus(run.task.step.req.room)
 
-    def heard(self, report: HostReport, *, sent_at: float, now: float, lease_s: float) -> None:
+    def note_report(
+        self, report: HostReport, *, sent_at: float, now: float, lease_s: float
+    ) -> None:
         """Note that it answered.
 
         :param lease_s: longest lease that the host grants.
         """
-        self.heard_at = now
+        self.last_report_at = now
         if self.clock is None:
             # What it runs may have been ordered by an earlier owner, whose deadlines this one
             # has not seen. Taken for lapsed too early, those tasks would run twice.
             self.held_until_s = max(self.held_until_s, report.clock_s + lease_s)
-        self.clock = HostClock(clock_s=report.clock_s, sent_at=sent_at, heard_at=now)
+        self.clock = HostClock(clock_s=report.clock_s, sent_at=sent_at, received_at=now)
 
     def leases_lapsed(self, now: float) -> bool:
         """Tell whether nothing that was ordered here can be running any more.
@@ -165,4 +167,4 @@
         """
         if self.clock is None:
             return False
-        return self.clock.surely(now) > self.held_until_s + LAPSE_MARGIN_S
+        return self.clock.lower_bound(now) > self.held_until_s + LAPSE_MARGIN_S
--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -25,7 +25,7 @@
     if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
         return False
     if run.task.step.req.filling and run.pace != FULL_PERCENT:
-        # It was told to go slowly, or to stand still.
+        # Its pace was reduced on purpose.
         return False
     return not _waits_for_gang(run, now)
 
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -23,7 +23,7 @@
 
 
 class JobPhase(StrEnum):
-    """What a client is told about its job."""
+    """Phase of a job as shown to its client."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -101,7 +101,7 @@
 
     :param attempt: highest number that a run of it has used.
     :param failed_attempts: attempts that ended through a failure. A host lists an end until it
-        is told to forget it, so a new owner may see one that its predecessor has counted.
+        may forget it, so a new owner may see one that its predecessor has counted.
     :param checkpoint: where the next run resumes, empty for the start.
     """
 
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -1,4 +1,4 @@
-"""What the dispatcher is told and what it tells: jobs, hosts, reports and orders.
+"""Inputs and outputs of the dispatcher: jobs, hosts, reports and orders.
 
 All times are seconds on the monotonic clock of this process, unless a field says otherwise.
 """
--- a/rhubarbferry/dispatch/pacing.py
+++ b/rhubarbferry/dispatch/pacing.py
@@ -49,7 +49,7 @@
     _changed_at: float = -math.inf
     _lowered_at: float = -math.inf
 
-    def heard(self, host: Host, now: float) -> list[PaceOrder]:
+    def note_report(self, host: Host, now: float) -> list[PaceOrder]:
         """Return the orders that follow from a report of the host."""
         filling = [run for run in host.runs.values() if _fills(run)]
         tail = _worst_tail(host.runs.values())
@@ -93,12 +93,12 @@
     _hosts: WeakKeyDictionary[Host, HostPace] = Factory(WeakKeyDictionary)
     _orders: list[PaceOrder] = Factory(list)
 
-    def heard(self, host: Host, now: float) -> None:
+    def note_report(self, host: Host, now: float) -> None:
         """Work in what a host has just reported."""
         pace = self._hosts.get(host)
         if pace is None:
             pace = self._hosts[host] = HostPace()
-        self._orders += pace.heard(host, now)
+        self._orders += pace.note_report(host, now)
 
     def may_fill(self, host: Host) -> bool:
         """Tell whether a host can do with another filling task."""
--- a/rhubarbferry/dispatch/roster.py
+++ b/rhubarbferry/dispatch/roster.py
@@ -28,7 +28,7 @@
     listed: Mapping[str, HostEntry],
     hosts: Mapping[str, Host],
     *,
-    unheard: Container[str],
+    unconfirmed: Container[str],
     now: float,
 ) -> dict[str, RosterEntry]:
     """Return the roster as it is to be written next.
@@ -36,11 +36,11 @@
     :param roster: as it stands on record.
     :param listed: the host list.
     :param hosts: the hosts as the owner knows them; those to be closed have been.
-    :param unheard: hosts that may still run tasks of an earlier owner.
+    :param unconfirmed: hosts that may still run tasks of an earlier owner.
     """
     found: dict[str, RosterEntry] = {}
     for id, entry in roster.items():
-        if id in listed or id in hosts or id in unheard:
+        if id in listed or id in hosts or id in unconfirmed:
             found[id] = _next_entry(entry, hosts.get(id), now)
     for id, row in listed.items():
         if id not in found:
@@ -60,13 +60,13 @@
         # It has had no order since, so what it may run has only become less.
         return entry
     jobs = {run.task.id.job for run in host.runs.values() if run.phase is not RunPhase.RESERVED}
-    jobs.update(task.job for task, _ in host.strangers)
+    jobs.update(task.job for task, _ in host.unknown_runs)
     return evolve(entry, outstanding=tuple(sorted(jobs)))
 
 
 def _is_closing(host: Host, now: float) -> bool:
     leaving = not host.listed or host.entry.phase is HostPhase.DRAINING
-    return leaving or now - host.heard_at >= SILENT_S
+    return leaving or now - host.last_report_at >= SILENT_S
 
 
 def follow_record(roster: Mapping[str, RosterEntry], hosts: Mapping[str, Host]) -> None:
--- a/rhubarbferry/dispatch/succession.py
+++ b/rhubarbferry/dispatch/succession.py
@@ -41,18 +41,18 @@
         own lease, the longest task lease and the clocks' drift after this one took over.
     """
 
-    unheard: dict[str, RosterEntry] = Factory(dict)
+    unconfirmed: dict[str, RosterEntry] = Factory(dict)
     lapsed_at: float
 
-    def heard(self, id: str) -> None:
+    def note_report(self, id: str) -> None:
         """Note that a host answered under the new fence number, or that its life has ended."""
-        self.unheard.pop(id, None)
+        self.unconfirmed.pop(id, None)
 
     def pass_time(self, now: float) -> None:
         """Wait for nobody once all earlier leases have ended."""
         if now >= self.lapsed_at:
-            self.unheard.clear()
+            self.unconfirmed.clear()
 
     def settled(self, job: str) -> bool:
         """Tell whether no task of a job can be running unseen for an earlier owner."""
-        return not any(entry.may_run(job) for entry in self.unheard.values())
+        return not any(entry.may_run(job) for entry in self.unconfirmed.values())
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -97,7 +97,7 @@
             return []
         outcomes = []
         if entry.incarnation > host.entry.incarnation:
-            outcomes = self._reborn(host, entry)
+            outcomes = self._restarted(host, entry)
         elif entry.incarnation == host.entry.incarnation and entry != host.entry:
             host.entry = entry
             self.changed.add(entry.id)
@@ -118,7 +118,7 @@
             for run in list(host.runs.values())
         ]
 
-    def _reborn(self, host: Host, entry: HostEntry) -> list[Outcome]:
+    def _restarted(self, host: Host, entry: HostEntry) -> list[Outcome]:
         outcomes: list[Outcome] = []
         for run in list(host.runs.values()):
             settled = run.phase is RunPhase.RUNNING and not run.unanswered
@@ -132,7 +132,7 @@
             self.stop(run, "its host started anew")
         host.entry = entry
         host.clock = None
-        host.strangers = {}
+        host.unknown_runs = {}
         host.adopted = False
         host.seen_end = host.recorded_end = 0
         host.held_until_s = 0.0
@@ -151,11 +151,11 @@
                 return []
             # The host list lags behind: the host itself is the first to show a new life.
             entry = evolve(host.entry, incarnation=report.incarnation)
-            outcomes += self._reborn(host, entry)
+            outcomes += self._restarted(host, entry)
         if host.clock is not None and report.clock_s < host.clock.clock_s:
             # An answer that was overtaken by a later one on another connection.
             return outcomes
-        host.heard(report, sent_at=sent_at, now=now, lease_s=self.lease_s)
+        host.note_report(report, sent_at=sent_at, now=now, lease_s=self.lease_s)
         if not host.adopted:
             host.adopted = True
             self.changed.add(host.id)
@@ -164,7 +164,7 @@
                 host.seen_end = ended.number
                 outcomes += self._ended(host, ended)
         listed = {(running.task, running.attempt) for running in report.running}
-        host.strangers = {key: at for key, at in host.strangers.items() if key in listed}
+        host.unknown_runs = {key: at for key, at in host.unknown_runs.items() if key in listed}
         for running in report.running:
             outcomes += self._running(host, running, report, now)
         outcomes += self._settle_unlisted(host, report, listed, now)
@@ -207,7 +207,7 @@
         """Take on a run that an earlier owner started, or that was started late."""
         task = self.task(running.task)
         if task is None:
-            self._stop_stranger(host, running, now)
+            self._stop_unknown_run(host, running, now)
             return []
         run = Run(
             task=task,
@@ -238,11 +238,11 @@
             task.checkpoint = running.checkpoint
         return outcomes
 
-    def _stop_stranger(self, host: Host, running: RunningTask, now: float) -> None:
+    def _stop_unknown_run(self, host: Host, running: RunningTask, now: float) -> None:
         key = (running.task, running.attempt)
-        if now - host.strangers.get(key, -math.inf) < STOP_AGAIN_S:
+        if now - host.unknown_runs.get(key, -math.inf) < STOP_AGAIN_S:
             return
-        host.strangers[key] = now
+        host.unknown_runs[key] = now
         self.stops.append(
             StopOrder(
                 host=host.id,
@@ -339,7 +339,7 @@
     def lapse(self, now: float, *, keep: Container[str] = ()) -> list[Outcome]:
         """End the runs whose task leases must be over, and forget hosts that have gone.
 
-        :param keep: hosts that must be heard of, though the host list does not show them.
+        :param keep: hosts to keep, though the host list does not show them.
         """
         outcomes: list[Outcome] = []
         for host in list(self.hosts.values()):
@@ -351,7 +351,7 @@
                     )
             # Nothing runs on a host that has answered this owner and holds no run, though its
             # leases go on: one that has left would be waited for at a takeover.
-            idle = host.adopted and not host.strangers
+            idle = host.adopted and not host.unknown_runs
             gone = not host.listed and not host.runs and (idle or host.clock is None)
             if gone and host.id not in keep:
                 del self.hosts[host.id]
--- a/rhubarbferry/dispatch/waiting.py
+++ b/rhubarbferry/dispatch/waiting.py
@@ -13,7 +13,7 @@
 from rhubarbferry.dispatch.job import Step
 from rhubarbferry.dispatch.objective import Urgency
 
-# Urgency, priority, arrival, and what tells steps apart that came in together.
+# Urgency, priority, arrival, and a tie-breaker.
 Order = tuple[int, float, float, str, int, int]
 
 
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -222,7 +222,7 @@
                 after_s = _come_back_after(record)
                 return _problem(503, "not accepted; the job will not run", retry_s=after_s)
         # The write may yet take effect, so nothing may be said that denies it. A client whose
-        # connection breaks hands the same job in again, and is told then.
+        # connection breaks hands the same job in again, and gets its answer then.
         return None
 
     async def _state(self, id: str) -> Reply:
--- a/rhubarbferry/platform/directory.py
+++ b/rhubarbferry/platform/directory.py
@@ -14,11 +14,11 @@
 
 
 class PlatformDirectory:
-    """Reads the registrations; entries that are not understood are skipped, each told once."""
+    """Reads the registrations; invalid entries are skipped and logged once each."""
 
     def __init__(self, *, store: TxnStore) -> None:
         self._store = store
-        self._told: set[str] = set()
+        self._logged: set[str] = set()
 
     async def hosts(self) -> tuple[HostEntry, ...]:
         """Return the hosts that are registered now."""
@@ -31,8 +31,8 @@
         try:
             return decode_entry(id, json.loads(item.value))
         except (ValueError, TypeError, KeyError, AttributeError) as exc:
-            if id not in self._told:
-                self._told.add(id)
+            if id not in self._logged:
+                self._logged.add(id)
                 logger.warning("host entry {} is not understood and skipped: {!r}", id, exc)
             return None
 
@@ -46,15 +46,15 @@
     remaining = body.get("remainingMs")
     return HostEntry(
         id=id,
-        incarnation=_whole(body.get("born", 0)),
+        incarnation=_integer(body.get("born", 0)),
         service=_text(body["service"]),
         address=_address(body["addr"]),
         failure_domain=_text(body["zone"]),
         phase=HostPhase(_text(body["state"])),
         capacity=Sizes(
-            millicores=_whole(capacity["cpu"]),
-            memory_mb=_whole(capacity["memMb"]),
-            accelerators=_whole(capacity.get("gpu", 0)),
+            millicores=_integer(capacity["cpu"]),
+            memory_mb=_integer(capacity["memMb"]),
+            accelerators=_integer(capacity.get("gpu", 0)),
         ),
         labels=tuple(_text(label) for label in body.get("labels", [])),
         remaining_s=None if remaining is None else float(remaining) / 1000,
@@ -67,7 +67,7 @@
     return value
 
 
-def _whole(value: Any) -> int:
+def _integer(value: Any) -> int:
     if not isinstance(value, (int, float)) or isinstance(value, bool) or value != int(value):
         raise ValueError(f"no whole number: {value!r}")
     return int(value)
--- a/rhubarbferry/platform/job_forms.py
+++ b/rhubarbferry/platform/job_forms.py
@@ -45,7 +45,7 @@
         queue=queue,
         payload=payload,
         steps=steps,
-        times=_whole(form, "times"),
+        times=_integer(form, "times"),
         start_at_s=_number(form, "startAtMs") / 1000,
         interval_s=_number(form, "intervalMs") / 1000,
     )
@@ -59,15 +59,15 @@
         isinstance(step, int) and 0 <= step < index for step in after
     ):
         raise JobFormError(f"phases[{index}].after: only earlier steps may be named")
-    count = _whole(row, "count")
+    count = _integer(row, "count")
     if count < 1:
         raise JobFormError(f"phases[{index}].count: at least 1 is needed")
     return StepRequest(
         count=count,
         sizes=Sizes(
-            millicores=_whole(row, "cpu"),
-            memory_mb=_whole(row, "memMb"),
-            accelerators=_whole(row, "gpu"),
+            millicores=_integer(row, "cpu"),
+            memory_mb=_integer(row, "memMb"),
+            accelerators=_integer(row, "gpu"),
         ),
         estimate_s=_number(row, "estimateMs") / 1000,
         after=tuple(after),
@@ -76,18 +76,18 @@
         checkpointable=_flag(row, "checkpointable"),
         required_label=_text(row, "requiredLabel"),
         near_rack=_text(row, "affinity"),
-        max_per_host=_whole(row, "maxPerServer"),
+        max_per_host=_integer(row, "maxPerServer"),
         copies_allowed=_flag(row, "speculative"),
         lasting=_flag(row, "longRunning"),
         image=_text(row, "image"),
         goal_s=_number(row, "goalMs") / 1000,
         # Despite its name this is a flag: the step's processor is not counted against room.
         filling=bool(row.get("fillCount", False)),
-        may_miss=_whole(row, "disruptionBudget") if "disruptionBudget" in row else None,
+        may_miss=_integer(row, "disruptionBudget") if "disruptionBudget" in row else None,
     )
 
 
-def _whole(row: dict[str, Any], name: str) -> int:
+def _integer(row: dict[str, Any], name: str) -> int:
     value = _number(row, name)
     if value != int(value):
         raise JobFormError(f"{name}: a whole number is needed")
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -155,7 +155,7 @@
         )
 
     async def run(self) -> None:
-        """Serve until told to stop, then hand over and end within the grace time.
+        """Serve until asked to stop, then hand over and end within the grace time.
 
         :raises OSError: when an address can't be listened on.
         """
@@ -224,7 +224,7 @@
         self.log.emit("process.stopped", in_progress=self.api.in_progress)
 
     async def _follow_settings(self) -> None:
-        """Apply changes of the settings file, whether a signal tells of them or not."""
+        """Apply changes of the settings file, with or without a signal."""
         while True:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.signals.reload.wait(), SETTINGS_LOOK_S)
--- a/rhubarbferry/platform/serving.py
+++ b/rhubarbferry/platform/serving.py
@@ -13,7 +13,7 @@
 # Connections that wait to be accepted. When the queue is full the opening packet is dropped and
 # sent again after a second, which a client sees as a slow answer.
 BACKLOG = 1024
-# How long requests in progress may take once the server is told to end.
+# How long requests in progress may take once the server is asked to end.
 GRACE_S = 1
 
 
@@ -22,7 +22,7 @@
 
     Two processes that start together may both bind the same address, as it may be used again
     right after a crash; only to listen there is refused to the second. Were that left to the
-    server, the process would end instead of being told.
+    server, the process would end instead.
 
     :raises OSError: when that is not possible, as when another process has the port.
     """
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -181,7 +181,7 @@
         self.fence += 1
         lapsed_at = self.now + LEASE_S * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
         self.dispatcher = Dispatcher(
-            succession=Succession(unheard=dict(self.roster), lapsed_at=lapsed_at),
+            succession=Succession(unconfirmed=dict(self.roster), lapsed_at=lapsed_at),
             lease_s=LEASE_S,
         )
         for id in self.roster:
@@ -232,8 +232,8 @@
         hosts = self.dispatcher.tracker.hosts
         listed = {host.id: host.entry() for host in self.oracle.hosts.values() if not host.dead}
         close_hosts(hosts, self.now)
-        unheard = self.dispatcher.succession.unheard
-        self.roster = next_roster(self.roster, listed, hosts, unheard=unheard, now=self.now)
+        unconfirmed = self.dispatcher.succession.unconfirmed
+        self.roster = next_roster(self.roster, listed, hosts, unconfirmed=unconfirmed, now=self.now)
         follow_record(self.roster, hosts)
         for entry in listed.values():
             new = entry.id not in hosts
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -152,7 +152,7 @@
     power. The next owner can't hear that host. Were every inherited job to wait until its leases
     must be over, all work would stand still for 8 s for one host that runs nothing."""
     world = World("a")
-    world.dispatcher.succession.unheard = {"b": closed("b", "there")}
+    world.dispatcher.succession.unconfirmed = {"b": closed("b", "there")}
     world.add(inherited("there", step()))
     world.add(inherited("elsewhere", step()))
     assert [order.task.job for order in world.starts()] == ["elsewhere"]
@@ -175,7 +175,7 @@
     hosts = world.dispatcher.tracker.hosts
     listed = {id: host.entry for id, host in hosts.items() if host.listed}
     close_hosts(hosts, world.now)
-    return next_roster(known, listed, hosts, unheard=(), now=world.now)
+    return next_roster(known, listed, hosts, unconfirmed=(), now=world.now)
 
 
 def test_a_silent_host_is_closed_on_record_with_what_it_may_run_and_opened_before_it_is_used():
@@ -224,4 +224,4 @@
     known = closed("a", "j")
     assert roster_of(world, a=known) == {}
     hosts = world.dispatcher.tracker.hosts
-    assert next_roster({"a": known}, {}, hosts, unheard={"a"}, now=world.now) == {"a": known}
+    assert next_roster({"a": known}, {}, hosts, unconfirmed={"a"}, now=world.now) == {"a": known}
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -102,7 +102,7 @@
         self.now = 10.0
         self.dispatcher = Dispatcher(
             succession=Succession(
-                unheard={
+                unconfirmed={
                     id: RosterEntry(id=id, address=f"{id}:1", incarnation=1, service="pool")
                     for id in roster
                 },
