--- a/rhubarbferry/management/commands/losses.py
+++ b/rhubarbferry/management/commands/losses.py
@@ -10,7 +10,7 @@
 
 from rhubarbferry.management.exits import Exit
 from rhubarbferry.management.output import Format, print_rows
-from rhubarbferry.reports.losses import LossRow, losses, parse_lines
+from rhubarbferry.reports.losses import LossRow, lines_left_out, losses, parse_lines
 
 
 def report_losses(*files: Path, total: bool = False, format: Format = "table") -> int:
@@ -24,6 +24,9 @@
     if not lines:
         print("no line of a process in these files", file=sys.stderr)
         return Exit.FAILED
+    left_out = lines_left_out(lines)
+    if left_out:
+        print(f"{left_out} lines were left out by the processes; sums are low", file=sys.stderr)
     rows = losses(lines)
     print_rows(_totals(rows) if total else rows, kind=LossRow, format=format)
     return Exit.OK
--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -235,6 +235,9 @@
             return Verdict.REFUSED
         if self.phase in ("failed", "cancelled"):
             return Verdict(self.phase)
+        if not self.objective_s:
+            # The line that names its objective was left out; nothing can be said of its delay.
+            return Verdict.OPEN
         took_s = (self.ended_at or now) - self.first_at
         if took_s > LATE_FACTOR * self.objective_s:
             return Verdict.MISSED
@@ -275,6 +278,11 @@
         return self.late + self.missed + self.refused + self.failed
 
 
+def lines_left_out(lines: Iterable[Line]) -> int:
+    """Return how many lines the processes did not write, as they bound their volume."""
+    return sum(int(line.fields.get("left_out") or 0) for line in lines)
+
+
 def trace_jobs(lines: list[Line]) -> list[JobTrace]:
     """Return what became of each job."""
     gaps = gaps_between_owners(lines)
