Tell room from work in the report of losses, by the tasks of each step

A step of 25 tasks of which one runs waits for room, not for its work. The job.taken line lists the tasks of each step. Where lines were left out, a job without an end is not counted as lost: it may have one.

--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -175,7 +175,7 @@
             queue=job.queue.name,
             revision=kv.mod_revision,
             inherited=inherited,
-            tasks=sum(step.count for step in job.req.steps),
+            tasks=[step.count for step in job.req.steps],
             objective_s=round(job.objective_s, 3),
             outcome=job.phase.value,
         )
--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -123,6 +123,11 @@
     return gaps
 
 
+def _step_of(task: str) -> str:
+    """Return the step of a task's label, OCCURRENCE.STEP of OCCURRENCE.STEP.INDEX."""
+    return task.rpartition(".")[0]
+
+
 @define(kw_only=True, eq=False)
 class JobTrace:
     """What the lines tell of one job.
@@ -143,9 +148,10 @@
     _at: float = field(init=False)
     _accepted: bool = False
     _owned: bool = False
-    _approved: bool = False
-    _begun_again: bool = False
-    _left: int = 0
+    _widths: list[int] = Factory(list)
+    _open_steps: set[str] = Factory(set)
+    _done: set[str] = Factory(set)
+    _begun_again: set[str] = Factory(set)
     _running: dict[str, float] = Factory(dict)
     _unanswered: set[str] = Factory(set)
 
@@ -165,11 +171,11 @@
             case "job.taken":
                 self._accepted = self._owned = True
                 self.objective_s = float(line.fields.get("objective_s") or 0.0)
-                self._left = int(line.fields.get("tasks") or 0)
+                self._widths = [int(count) for count in line.fields.get("tasks") or ()]
             case "approval" if line.fields.get("approved"):
-                self._approved = True
+                self._open_steps.add(line.text("step"))
             case "task.start":
-                self._approved = True
+                self._open_steps.add(_step_of(task))
                 self._note_start(task, line)
             case "task.end":
                 self._note_end(task, line)
@@ -188,9 +194,9 @@
         self._unanswered.discard(task)
         started_at = self._running.pop(task, line.at)
         if line.text("outcome") in GOOD_ENDS:
-            self._left -= 1
+            self._done.add(task)
             return
-        self._begun_again = True
+        self._begun_again.add(task)
         lost_s = min(line.at - started_at, self.waited[Cause.WORK])
         self.waited[Cause.WORK] -= lost_s
         self.waited[Cause.RESTART] += lost_s
@@ -213,30 +219,40 @@
             return Cause.OWNER
         if self._unanswered:
             return Cause.START
+        if self._begun_again - self._running.keys() - self._done:
+            return Cause.RESTART
+        if self._waits_for_room():
+            return Cause.ROOM
         if self._running:
             return Cause.WORK
-        if self._left <= 0:
-            return Cause.RECORD
-        if not self._approved:
-            return Cause.APPROVAL
-        return Cause.RESTART if self._begun_again else Cause.ROOM
+        return Cause.RECORD if len(self._done) == sum(self._widths) else Cause.APPROVAL
+
+    def _waits_for_room(self) -> bool:
+        """Return whether a step that may begin has tasks that have not."""
+        begun = Counter(_step_of(task) for task in {*self._running, *self._done})
+        return any(begun[step] < self._width(step) for step in self._open_steps)
+
+    def _width(self, step: str) -> int:
+        index = int(step.rpartition(".")[2])
+        return self._widths[index] if index < len(self._widths) else 0
 
     def finish(self, at: float) -> None:
         """Note that there are no more lines."""
         if self.ended_at is None:
             self._pass_time(at)
 
-    def verdict(self, now: float) -> Verdict:
+    def verdict(self, now: float, *, whole: bool = True) -> Verdict:
         """Return how it came out.
 
         :param now: time of the last line.
+        :param whole: whether no line was left out; else a job without an end may have one.
         """
         if not self._accepted:
             return Verdict.REFUSED
         if self.phase in ("failed", "cancelled"):
             return Verdict(self.phase)
-        if not self.objective_s:
-            # The line that names its objective was left out; nothing can be said of its delay.
+        if not self.objective_s or (self.ended_at is None and not whole):
+            # Lines were left out; nothing can be said of its delay.
             return Verdict.OPEN
         took_s = (self.ended_at or now) - self.first_at
         if took_s > LATE_FACTOR * self.objective_s:
@@ -309,8 +325,9 @@
     begin, end = lines[0].at, lines[-1].at
     counts: dict[tuple[float, str, Cause], Counter[Verdict]] = defaultdict(Counter)
     waited: dict[tuple[float, str, Cause], float] = defaultdict(float)
+    whole = not lines_left_out(lines)
     for trace in trace_jobs(lines):
-        verdict = trace.verdict(end)
+        verdict = trace.verdict(end, whole=whole)
         if verdict not in LOST:
             continue
         window_s = (trace.first_at - begin) // WINDOW_S * WINDOW_S
