Look at the steps with reservations only, and at each host once a decision

Cause: each decision walked through all runs of all hosts for reservations to give up, and asked each host twice whether it takes tasks.

Change: reservations are found by their steps; whether a host takes tasks is worked out once a decision. What is decided is the same.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -77,6 +77,7 @@
     holds: Holds = Factory(Holds)
     pacing: Pacing = Factory(Pacing)
     _touched: dict[Step, None] = Factory(dict)
+    _reserving: dict[Step, None] = Factory(dict)
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
     _timed: dict[str, Job] = Factory(dict)
@@ -267,8 +268,8 @@
         return host.id not in step.approvals.denied and step.req.room.fits(host.room)
 
     def _open_hosts(self, now: float) -> list[Host]:
-        """Return the hosts that may get a task now."""
-        hosts = [host for host in self.tracker.hosts.values() if host.takes_tasks(now)]
+        """Return the hosts that may get a task at this decision."""
+        hosts = [host for host in self.tracker.hosts.values() if host.is_open]
         if self._ejector.ejected():
             hosts = [host for host in hosts if self._ejector.usable(host.id, now=now)]
         return hosts
@@ -333,6 +334,7 @@
             task.run = run
             item.host.add(run)
             self._ejector.started(item.host.id, step.job.id, now=now)
+            self._reserving[step] = None
         return self._start_reserved(step, now)
 
     def _start_reserved(self, step: Step, now: float) -> list[Order]:
@@ -355,9 +357,12 @@
         self.waiting.add(step, now)
 
     def _give_up_reservations(self, now: float) -> None:
-        for run in reservations.overdue(self.tracker.hosts.values(), now):
-            self.tracker.release(run)
-            self._enqueue(run.task.step, now)
+        for step in list(self._reserving):
+            for run in reservations.overdue(step, self.tracker.hosts, now):
+                self.tracker.release(run)
+                self._enqueue(step, now)
+            if not reservations.reserved(step):
+                del self._reserving[step]
 
     # ------------------------------------------------------------ ends
 
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -59,7 +59,7 @@
     :param blocked_until: it gets no new tasks before this time.
     :param leaves_at: while it is draining, until when it stays at least; it is the earliest time
         given by its entries, as each is up to a heartbeat old when it is read.
-    :param was_open: whether it took tasks at the last decision.
+    :param is_open: whether it takes tasks, as of the last decision.
     """
 
     entry: HostEntry
@@ -76,7 +76,7 @@
     last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
-    was_open: bool = False
+    is_open: bool = False
     _room: Sizes = field(factory=Sizes)
     _room_used: Sizes | None = None
     _room_capacity: Sizes | None = None
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase, Step
@@ -43,13 +43,10 @@
     return sorted({run.host for run in reserved(step) if ticket(run, hosts, now) is None})
 
 
-def overdue(hosts: Iterable[Host], now: float) -> list[Run]:
-    """Return the reservations to give up: too old, or on a host that takes no tasks now."""
+def overdue(step: Step, hosts: Mapping[str, Host], now: float) -> list[Run]:
+    """Return a step's reservations to give up: too old, or on a host that takes no tasks now."""
     return [
-        run
-        for host in hosts
-        for run in host.runs.values()
-        if run.phase is RunPhase.RESERVED and (now > _latest(run) or not host.takes_tasks(now))
+        run for run in reserved(step) if now > _latest(run) or not hosts[run.host].takes_tasks(now)
     ]
 
 
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -361,9 +361,9 @@
         """Count hosts that take tasks again as changed, so that what waits is looked at."""
         for host in self.hosts.values():
             opened = host.takes_tasks(now)
-            if opened and not host.was_open:
+            if opened and not host.is_open:
                 self.changed.add(host.id)
-            host.was_open = opened
+            host.is_open = opened
 
     # ------------------------------------------------------------ runs
 
