--- a/rhubarbferry/bench/day_work.py
+++ b/rhubarbferry/bench/day_work.py
@@ -97,6 +97,15 @@
     times: float
 
 
+@frozen(kw_only=True, slots=True)
+class StartsLost:
+    """A share of the starts is neither carried out nor answered for a while."""
+
+    at_s: float
+    for_s: float
+    share: float
+
+
 @frozen(kw_only=True, slots=True)
 class Pause:
     """Nobody decides for a while, as when the owner of the work is being replaced."""
@@ -124,6 +133,7 @@
     losses: tuple[HostsLost, ...] = ()
     pauses: tuple[Pause, ...] = ()
     slow: tuple[HostsSlow, ...] = ()
+    starts_lost: tuple[StartsLost, ...] = ()
 
 
 @frozen(kw_only=True, slots=True)
@@ -305,5 +315,12 @@
         ),
         bursts=(Burst(at_s=30, for_s=4, times=1.3),),
     ),
+    "starts lost": evolve(
+        CALM,
+        starts_lost=(
+            StartsLost(at_s=5, for_s=15, share=0.055),
+            StartsLost(at_s=30, for_s=15, share=0.11),
+        ),
+    ),
     "overload": evolve(CALM, bursts=(Burst(at_s=0, for_s=60, times=1.6),)),
 }
--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -38,6 +38,7 @@
     StepId,
     StopOrder,
     TaskId,
+    Unanswered,
 )
 from rhubarbferry.dispatch.succession import Succession
 
@@ -241,6 +242,8 @@
             return
         arrival = self._arrivals[order.task.job]
         run = (order.task, order.attempt)
+        if run in host.running:
+            return
         whole = arrival.run_s[order.task.step] / self._speed(order)
         saved = float(order.checkpoint or 0.0)
         length = whole * (1 - saved) + (RESTORE_S if saved else 0.0)
@@ -337,6 +340,8 @@
 
     def _carry_out(self, order: Order) -> None:
         match order:
+            case StartOrder() if self._is_lost(order):
+                self._at(self.now + order.timeout_s, lambda: self._start_unanswered(order))
             case StartOrder():
                 self._at(self.now + WAY_S, lambda: self._start(order))
             case StopOrder():
@@ -345,6 +350,29 @@
                 job = self._dispatcher.jobs.get(order.step.job)
                 self._desk.add(order, priority=job.queue.priority if job is not None else 0)
 
+    def _is_lost(self, order: StartOrder) -> bool:
+        share = sum(
+            lost.share
+            for lost in self.day.starts_lost
+            if lost.at_s <= self.now < lost.at_s + lost.for_s
+        )
+        rng = self._rng(f"lost {order.task} {order.attempt} {order.retries}")
+        return rng.random() < share
+
+    def _start_unanswered(self, order: StartOrder) -> None:
+        """Do as the owner does: settle with a stop and a look what is not sent again."""
+        dispatcher = self._dispatcher
+        dispatcher.start_answered(order.host, order.task, order.attempt, Unanswered(), now=self.now)
+        if dispatcher.unclear(order.host, order.task, order.attempt):
+            self._at(self.now + 4 * WAY_S, lambda: self._settle(order))
+
+    def _settle(self, order: StartOrder) -> None:
+        if self._hosts[order.host].dead:
+            return
+        clock_s = self._hosts[order.host].report(self.now).clock_s
+        self._dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
+        self._at(self.now + 2 * WAY_S, lambda: self._report(order.host))
+
     def _ask(self, order: AdviceOrder, member: str) -> None:
         took_s = order.cost.duration_s(len(order.hosts)) + WAY_S
         self._at(self.now + took_s, lambda: self._answer(order, member))
