Hand over to the best process that reaches the store, not to the first

Cause: an owner that the store turns away asked all others and handed over to the first that answered, an idle one on a weak host.

Ruled out: the detection of the silent owner (pings are answered now and then by an overloaded one, and rightly so).

Change: after the first answer others get 0.1 s, and the first in the order of succession of those that reach the store is asked.

--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -43,6 +43,9 @@
 LOAD_S = 3.0
 # Between two looks at whether the store still answers this process.
 REACH_LOOK_S = 0.1
+# After the first process that can take the work over, wait this long for a better one: a round trip
+# between regions, and one to the store.
+BETTER_S = 0.1
 # A host of the roster gets no new task before the host list has shown its capacity.
 _NO_ROOM = Sizes()
 
@@ -200,18 +203,26 @@
                 self.tenure.check()
 
     async def _one_that_reaches_the_store(self) -> Member | None:
-        """Ask all other processes at once; return the first that the store answers now."""
-        others = [m for m in self._members() if m.name != self.around.own.name]
-        asking = {asyncio.create_task(self.around.peers.store_reached(m)): m for m in others}
+        """Ask all other processes at once; return the best of those that the store answers now.
+
+        The first to answer is likely an idle one on a weak host. The work would be too much for
+        it, and nothing starts until it is found silent: three to four seconds.
+        """
+        others = successors(self.around.own, self.around.view)
+        asking = [asyncio.create_task(self.around.peers.store_reached(m)) for m in others]
         pending = set(asking)
         try:
-            while pending:
+            reached = False
+            while pending and not reached:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for task in done:
-                    if task.result():
-                        return asking[task]
+                reached = any(task.result() for task in done)
+            if pending:
+                await asyncio.wait(pending, timeout=BETTER_S)
+            for member, task in zip(others, asking, strict=True):
+                if task.done() and task.result():
+                    return member
         finally:
-            for task in pending:
+            for task in asking:
                 task.cancel()
         return None
 
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -88,6 +88,37 @@
     await asyncio.gather(running, return_exceptions=True)
 
 
+ANSWERS = {
+    "a weak one answers first": ({"weak": (0.0, True), "strong": (0.02, True)}, "strong"),
+    "only a weak one is answered by the store": (
+        {"weak": (0.0, True), "strong": (0.02, False)},
+        "weak",
+    ),
+    "a strong one does not answer in time": ({"weak": (0.0, True), "strong": (5.0, True)}, "weak"),
+    "nobody reaches the store": ({"weak": (0.0, False), "strong": (0.0, False)}, None),
+}
+
+
+@pytest.mark.parametrize(("answers", "chosen"), ANSWERS.values(), ids=ANSWERS.keys())
+async def test_an_owner_that_is_cut_off_hands_over_to_a_host_that_can_bear_the_work(
+    answers, chosen
+):
+    """The store turns the owner away. The first other process to answer runs on a host with a slow
+    link; as the owner it could not answer pings any more, and nothing would start for seconds."""
+    found = term(Peers(willing=set()), fresh=False)
+    members = {name: member(name, link_mbps=100.0) for name in ("own", "strong")}
+    found.around.view.members = {**members, "weak": member("weak", link_mbps=5.0)}
+
+    async def store_reached(asked):
+        after_s, reached = answers[asked.name]
+        await asyncio.sleep(after_s)
+        return reached
+
+    found.around.peers.store_reached = store_reached
+    best = await asyncio.wait_for(found._one_that_reaches_the_store(), ENDS_S)
+    assert (best.name if best is not None else None) == chosen
+
+
 async def test_reports_that_come_close_together_share_a_decision(monkeypatch):
     """176 hosts report and answer 800 times a second. A decision for each of them looks at all
     hosts, and would take a third of the owner's processor while nothing waits."""
