--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -13,8 +13,7 @@
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import Changes, KeyPut, KeyValue, Listing, StoreError, TxnStore
 
-# A configuration must be in force within 2.5 s of its being accepted, from 4 s after a connection
-# has gone silent. That is found after this wait and 0.6 s more, and a read follows.
+# Short enough to find a silent connection and to read a new configuration in its time.
 WATCH_S = 2.4
 RETRY_S = 0.3
 
--- a/rhubarbferry/cell/detour.py
+++ b/rhubarbferry/cell/detour.py
@@ -22,9 +22,8 @@
     "rhubarbferry_store_detours_total", "Calls sent through another process", ["call"]
 )
 
-# The store answers in 4 ms, and 25 to 45 ms with the way between regions. After this time without
-# an answer the other way is tried as well; both may be carried out, since each call has the same
-# effect once or twice.
+# Without an answer for this long the other way is tried as well. Calls are idempotent, so both may
+# be carried out.
 HEDGE_S = 0.3
 # How much of the client's time one other process gets, before the next is tried.
 PEER_S = 1.0
--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -23,8 +23,7 @@
 SILENT_RETRY_S = 0.5
 # While ends are not yet on record the host would answer at once each time.
 UNRECORDED_PAUSE_S = 0.12
-# How long to wait for an answer, over the time that the look itself takes: some round trips
-# between regions (46 ms), or one packet sent anew.
+# Time for the answer beyond the look itself: some round trips, or one packet sent again.
 PATIENCE_S = 0.4
 # A new owner starts no inherited task before each host has answered once. One lost answer must
 # not hold all of them up, so the first look is sent again soon.
--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -28,11 +28,10 @@
     WatchEvent,
 )
 
-# How long one watch call waits; a watch that has gone silent is found 0.6 s after that.
+# How long one watch call waits. A silent watch is found soon after that.
 WATCH_S = 1.0
-# While steps wait for room, changes within this time share one call: a new job would wait as well.
-# It delays cancellations, the loss of ownership, and jobs whose notice was lost. With room to
-# spare the watch is asked again at once, as it shows a job up to 40 ms before its notice.
+# While steps wait for room, changes within this time share one call, as a new job would wait as
+# well. With room to spare the watch is asked again at once: it may show a job before its notice.
 GATHER_S = 0.2
 RETRY_S = 0.1
 # An age above this is the mark of a clock that is wrong, or of a record without a time.
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -11,14 +11,14 @@
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import LeaseLost, StoreError, TxnStore
 
-# A killed owner is replaced once its lease has ended, so a short lease means a short gap. It must
-# outlast a slow store: answers that take 0.4 s and two renewals that get none.
+# Short, since an owner that nobody can ping is replaced when its lease ends. Long enough for a slow
+# store and two lost renewals.
 TTL_S = 1.5
 RENEW_S = 0.3
 # Taken off each term: the clocks of this host and the store may differ by 2 %.
 MARGIN_S = 0.1
 RETRY_S = 0.2
-# A renewal is answered within 50 ms, or 400 ms by a slow store, and one goes out each 0.3 s.
+# The interval of renewals and the answer of a slow store.
 FRESH_S = 0.5
 
 
--- a/rhubarbferry/cell/logs.py
+++ b/rhubarbferry/cell/logs.py
@@ -16,8 +16,7 @@
     "rhubarbferry_log_lines_dropped_total", "Log lines that were not written", ["reason"]
 )
 
-# Lines of one kind: at most this many at once and, lasting, this many a second. A busy owner
-# decides some hundred times a second.
+# Lines of one kind: at most this many at once and, lasting, this many a second.
 BURST_LINES = 400.0
 LINES_PER_S = 150.0
 
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -120,7 +120,7 @@
             self.registered.pop(name, None)
 
 
-# Round trips to the store that differ by less than this count as alike: another region adds 40 ms.
+# Round trips to the store that differ by less than this count as alike; another region adds more.
 ALIKE_S = 0.02
 # A host with less than this share of the largest processor or link in the cell is a weak one.
 WEAK_SHARE = 0.5
--- a/rhubarbferry/cell/owner_link.py
+++ b/rhubarbferry/cell/owner_link.py
@@ -18,8 +18,8 @@
 
 # A count is asked of the owner at most this often for each queue; it may be 2 s old.
 PENDING_AGE_S = 0.4
-# Both ways between regions take 40 ms. An owner that does not answer a question in time is not
-# asked again for a while: each client would wait for it in vain before the store is read.
+# An owner that does not answer in time is not asked again for a while: each client would wait for
+# it in vain before the store is read.
 OWNER_S = 0.2
 OWNER_PAUSE_S = 1.0
 
--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -13,9 +13,9 @@
 from rhubarbferry.cell.peers import PeerClient, Reach
 from rhubarbferry.ports.clock import Clock
 
-# Between two pings of the owner. Three processes ping, so they cost it 12 answers a second.
+# Between two pings of the owner.
 PING_S = 0.25
-# A ping is answered within 46 ms between regions; the rest is for a busy process.
+# A round trip between regions, and time for a busy process.
 PING_TIMEOUT_S = 0.3
 # After a ping without an answer, before the next.
 AGAIN_S = 0.05
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -33,14 +33,14 @@
 from rhubarbferry.rpc.pool import Pool
 from rhubarbferry.rpc.services import PEER
 
-# Between processes a connection costs a beat each second; one that is silent for 2 s is replaced.
+# A connection between processes that misses two heartbeats is replaced.
 PEER_TIMING = Timing(connect_s=0.5, heartbeat_s=1.0, silence_s=2.0)
 PENDING_S = 0.5
 # A notice that takes longer is of no use: the owner's watch shows the job by then.
 NOTICE_S = 0.5
-# The other process asks the store first, which may take 0.45 s.
+# The other process asks the store first.
 REACH_S = 0.6
-# The other process writes the owner's key, which takes a slow store 0.4 s; both ways are added.
+# The other process writes the owner's key, which a slow store takes its time for.
 TAKE_OVER_S = 1.2
 # Both ways between regions, and the wait for a turn in the process that asks.
 HOP_S = 0.4
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -32,8 +32,7 @@
 # A transaction takes 32 entries: the owner's key, and for each job a condition, a write and, when
 # the job has ended, the removal of its former state.
 JOBS_PER_TXN = 10
-# Ends of jobs within this time share a transaction. It is added to what clients wait for an ended
-# job, and bounds the calls to 50 a second.
+# Ends of jobs within this time share a transaction. Clients of ended jobs wait for it.
 GATHER_S = 0.02
 # Other changes wait this long for company: no client sees them, and the hosts keep the ends
 # until they are on record.
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -30,21 +30,19 @@
 
 # At most this long between two decisions, for what depends on time alone.
 TICK_S = 0.1
-# After a decision what comes in for this long shares the next one. Each looks at all hosts, and at
-# 176 of them reports and answers come in 800 times a second.
+# After a decision, events within this time share the next one. Each decision looks at all hosts.
 GATHER_S = 0.004
-# Between two reads of the host list. A draining host must get no task 2.5 s after it said so.
+# Between two reads of the host list. A draining host must get no task soon after it says so.
 DIRECTORY_S = 0.5
 # Waiting steps are looked at anew this often, should a change have been missed.
 REVIEW_S = 1.0
 RETRY_S = 0.2
-# An owner that has not read the work by then, though the store answers it, passes the work on. A
-# page of a listing takes a link of 5 Mbit/s 1.6 s.
+# An owner that has not read the work by then, though the store answers it, passes the work on.
 LOAD_S = 3.0
 # Between two looks at whether the store still answers this process.
 REACH_LOOK_S = 0.1
 # After the first process that can take the work over, wait this long for a better one: a round trip
-# between regions, and one to the store.
+# between regions and one to the store.
 BETTER_S = 0.1
 # A host of the roster gets no new task before the host list has shown its capacity.
 _NO_ROOM = Sizes()
--- a/rhubarbferry/dispatch/evacuation.py
+++ b/rhubarbferry/dispatch/evacuation.py
@@ -10,8 +10,8 @@
 # at once: what is left of it is known to a few tenths, more roughly where it goes by its estimate.
 TOO_LONG_TIMES = 1.5
 TOO_LONG_S = 0.5
-# A stop takes up to 0.9 s, its end is reported 0.1 s later, and the host's entry may be 0.5 s old.
-# So long before the host leaves, all that will not end in time is stopped.
+# So long before the host leaves, all that will not end in time is stopped: a stop takes a while to
+# be reported, and the host's entry may be old.
 LAST_CALL_S = 1.5
 
 
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -35,8 +35,8 @@
         return self.clock_s + (now - self.received_at) * (1 - CLOCK_DRIFT)
 
 
-# A host that has not answered for this long gets no new tasks: it may be gone, or cut off. Looks
-# at a host last up to 0.7 s, and the answer takes up to 0.1 s.
+# A host that has not answered for this long gets no new tasks: it may be gone, or cut off. Twice
+# the longest look.
 SILENT_S = 1.5
 
 RunKey = tuple[TaskId, int]
--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -6,8 +6,8 @@
 from rhubarbferry.dispatch.job import Run, RunPhase
 from rhubarbferry.dispatch.messages import FULL_PERCENT
 
-# A task whose progress has not moved for this long hangs. Progress is reported in percent, and one
-# percent of the longest tasks seen takes 0.2 s.
+# A task whose progress has not moved for this long hangs. Progress is reported in whole percent, so
+# this bounds the length of tasks at a hundred times as much.
 HUNG_S = 2.5
 
 
--- a/rhubarbferry/dispatch/pacing.py
+++ b/rhubarbferry/dispatch/pacing.py
@@ -18,16 +18,16 @@
 # last half second and a change of pace takes a tenth of a second more.
 SLOW_AT = 0.9
 # A tail above this multiple of its goal stops the filling at once: halved step by step it would
-# take three looks at the host, 2 s in which its users wait.
+# take three looks at the host.
 STOP_AT = 1.5
 # Below this share of the goal the filling may do more again.
 FASTER_AT = 0.7
 HALVE = 0.5
 # So many percent more at a time; back at full pace after ten changes.
 RAISE_PERCENT = 10
-# After a change, before the next: half a second until the figures show it, and 0.1 s to take it.
+# After a change, before the next: until the figures of the host show it.
 SETTLE_S = 0.6
-# After it was slowed, before it may do more: each try too soon costs users another second.
+# After it was slowed, before it may do more: users pay for each try that comes too soon.
 CALM_S = 3.0
 # An order without an answer is sent again after this time.
 AGAIN_S = 0.5
--- a/rhubarbferry/dispatch/retries.py
+++ b/rhubarbferry/dispatch/retries.py
@@ -12,8 +12,7 @@
 from rhubarbferry.dispatch.job import Run, RunPhase
 from rhubarbferry.dispatch.messages import StartOrder
 
-# Timeouts of the tries of one start, in seconds. An answer takes up to 50 ms between regions. The
-# last one leaves time for a busy host; together they stay below the validity of the order.
+# Timeouts of the tries of one start, in seconds. Their sum stays below the validity of the order.
 START_TIMEOUTS_S = (0.15, 0.2, 0.4)
 
 
--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -13,7 +13,7 @@
 
 # Connections stay open between calls, since a new one is paid for and takes a round trip more.
 KEEP_OPEN_S = 30.0
-# A connection takes one round trip (up to 46 ms between regions); the rest is for a busy host.
+# A round trip between regions, and time for a busy host.
 CONNECT_S = 0.3
 # Connections to one address at a time; runners allow 64 from all callers together.
 MAX_PER_ADDRESS = 32
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -33,9 +33,9 @@
     "rhubarbferry_store_failures_total", "Calls to the store that failed", ["call", "error"]
 )
 
-# The store answers in 4 ms and, when slow, in up to 100 times that; one way adds 20 ms.
+# Twice what a slow store takes, and the way between regions.
 CALL_S = 1.0
-# A page of a listing holds up to 1 MB, which takes a link of 5 Mbit/s 1.6 s without other traffic.
+# A page of a listing may be 1 MB, and a slow link carries other traffic beside it.
 PAGE_S = 8.0
 # Beyond the time that a watch waits by itself.
 WATCH_SLACK_S = 0.6
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -25,8 +25,8 @@
 from rhubarbferry.platform.names import parse_task, task_name
 from rhubarbferry.ports.workers import FenceStale, HoldRequest, WorkerGone, WorkerSilent
 
-# An order is answered within one round trip (up to 46 ms); a packet sent anew and busy processes
-# add some hundred milliseconds. What takes longer is treated as unanswered.
+# A round trip between regions, one packet sent again, and time for a busy host. What takes longer
+# is treated as unanswered.
 ORDER_S = 0.4
 EXPECT_HEADER = "Rhubarbferry-Expect-Instance"
 
