--- a/tests/bench/test_days.py
+++ b/tests/bench/test_days.py
@@ -19,8 +19,7 @@
 
 
 def test_starts_that_are_sent_again_serve_more_while_hosts_lose_orders(monkeypatch):
-    """Wide gangs on hosts that lose one start in five. Settled and begun anew for each of them,
-    most gangs would not begin before they are late."""
+    """Guards against wide gangs that begin too late where hosts lose one start in five."""
     with_retries = worth()
     monkeypatch.setattr(tracker, "next_try", lambda run, host, now: None)
     assert with_retries > worth() + 0.05
--- a/tests/cell/test_candidate.py
+++ b/tests/cell/test_candidate.py
@@ -19,7 +19,7 @@
 
 
 class Follower:
-    """A watch that hears of a change after a while."""
+    """A watch that shows a change after a while."""
 
     listed = True
 
@@ -35,10 +35,8 @@
     return Candidate(around=around)
 
 
-async def test_a_process_that_has_won_goes_on_to_hear_of_changes():
-    """A process wins the work outside of its turn, which ends its wait for changes. Were each
-    later wait ended as well, it would never hear that another process has taken over, or that
-    its own key stands: nobody would do the work, with the key there for all to see."""
+async def test_a_process_that_has_won_still_sees_changes():
+    """Guards against a watch that stays deaf after a win, so that nobody does the work."""
     found = candidate()
     found.around.view.owned(Ownership(owner=member("own"), fence=9, lease_id=1))
     found._won.set()
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -14,7 +14,7 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
 
-# By then each process has heard of all others.
+# By then each process knows all others.
 ACQUAINTED_S = 1.0
 NAMES = ("one", "two", "three")
 
@@ -87,8 +87,7 @@
 
 
 async def test_jobs_go_on_when_their_owner_is_killed(stage):
-    """The process that decides where tasks run is killed with jobs half done. Without a
-    successor that adopts what runs, its jobs would stand still or run a second time."""
+    """Guards against jobs that stand still or run twice after their owner was killed."""
     for worker in stage.workers.values():
         worker.work_s = 1.0
     owner = stage.owner()
@@ -103,8 +102,7 @@
 
 
 async def test_a_planned_stop_hands_over_at_once(stage):
-    """A process is stopped for maintenance. Were its work left until its lease ends, no task
-    would start for more than a second; were its connections closed, clients would be cut off."""
+    """Guards against a planned stop that starts no task until its lease has ended."""
     owner = stage.owner()
     other = next(member for member in stage.members.values() if member is not owner)
     owner.signal(signal.SIGTERM)
@@ -117,9 +115,7 @@
 
 
 async def test_an_owner_hands_over_before_it_stops_to_decide(stage):
-    """A process is stopped for maintenance beside a store that takes 0.35 s for each answer. Were
-    its key removed before the next owner is found, nothing would start for four such answers and
-    jobs of a second would be late."""
+    """Guards against seconds without an owner in a planned stop beside a slow store."""
     owner = stage.owner()
     other = next(member for member in stage.members.values() if member is not owner)
     await asyncio.sleep(ACQUAINTED_S)
@@ -136,8 +132,7 @@
 
 
 async def test_a_killed_owner_is_replaced_before_its_lease_has_ended(stage):
-    """The owner crashes. Its key stays for 1.5 s, in which nothing would start; but its address
-    refuses connections at once."""
+    """Guards against a wait for the lease of an owner whose address refuses connections."""
     owner = stage.owner()
     await asyncio.sleep(ACQUAINTED_S)
     owner.signal(signal.SIGKILL)
@@ -146,8 +141,7 @@
 
 
 async def test_an_owner_that_stands_still_finds_its_lease_ended(stage):
-    """The owner is paused for a second, long enough to be taken for dead, and goes on before its
-    lease would have ended. Could it still extend its lease, there would be two who decide."""
+    """Guards against a paused owner that goes on to decide beside its successor."""
     owner = stage.owner()
     await asyncio.sleep(ACQUAINTED_S)
     owner.signal(signal.SIGSTOP)
@@ -161,8 +155,7 @@
 
 
 async def test_acknowledged_jobs_outlive_all_processes(stage):
-    """All processes are killed right after jobs were acknowledged, as when all power fails.
-    A user who was told that his job is accepted must not have to hand it in again."""
+    """Guards against acknowledged jobs that are lost when all processes are killed."""
     for worker in stage.workers.values():
         worker.work_s = 1.0
     member = stage.members["one"]
@@ -195,8 +188,7 @@
 
 
 async def test_a_task_that_always_fails_ends_its_job_after_its_attempts(stage):
-    """A task can never be done. Tried for ever it would take room from all others; given up too
-    early, a job that could have been done is lost."""
+    """Guards against a task that is tried for ever, or given up too early."""
     id = ids(1)[0]
     for worker in stage.workers.values():
         worker.fails.add(f"{id}.0.0.0")
@@ -206,8 +198,7 @@
 
 
 async def test_an_outage_of_the_store_refuses_truthfully_and_loses_nothing(stage):
-    """The store is down for some seconds. What was accepted goes on afterwards; a job that was
-    refused in the outage must never run."""
+    """Guards against a job that runs after it was refused in an outage of the store."""
     member = stage.members["one"]
     for worker in stage.workers.values():
         worker.work_s = 0.6
@@ -224,8 +215,7 @@
 
 
 async def test_an_outage_of_the_store_does_not_make_its_owner_hand_over(stage):
-    """The store goes down for all. Each process has been answered a moment before, so an owner
-    that went by that would stop all starts at once, though it may act until its lease ends."""
+    """Guards against an owner that stops its starts as the store goes down for all."""
     owner = stage.owner()
     stage.store.trouble.down = True
     await asyncio.sleep(2.5)
@@ -234,8 +224,7 @@
 
 
 async def test_a_lost_answer_of_the_store_does_not_double_a_job(stage):
-    """The store accepts a job and its answer is lost. The client is not told "no", and its
-    second try finds the first."""
+    """Guards against a refusal, or a second job, after a lost answer of the store."""
     member = stage.members["one"]
     stage.store.trouble.lose_every = 2
     for id in ids(8):
@@ -252,8 +241,7 @@
 
 
 async def test_a_configuration_is_in_force_everywhere_though_watches_lose_their_history(stage):
-    """Operators add a queue while the store drops its history. A process that missed the change
-    would go on to refuse that queue's jobs."""
+    """Guards against a process that misses a new queue while the store drops its history."""
     stage.store.trouble.no_history = True
     stage.store.put("op/config", configuration(7, prefixes=("/q/", "/new/")))
     await asyncio.sleep(2.5)
@@ -286,8 +274,7 @@
 
 
 async def test_filling_tasks_are_slowed_beside_a_service_whose_users_wait(stage):
-    """Batch tasks fill the host of a service, whose users then wait longer than its goal. Nobody
-    but the owner can slow the batch, and a service that stays slow breaks its promise."""
+    """Guards against batch tasks that keep the users of a service waiting."""
     member = stage.members["one"]
     service, batch = ids(2)
     worker = stage.workers["w0"]
@@ -308,9 +295,7 @@
 
 
 async def test_a_changed_settings_file_is_followed_with_and_without_a_signal(stage):
-    """The platform moves a service and rewrites the settings files; it tells only some of the
-    processes by a signal. A process that ended at the signal, or went on with the old address,
-    would lose its clients' requests."""
+    """Guards against a process that ends at SIGHUP or goes on with an old address."""
     signalled, silent, _ = stage.members.values()
     for member in (signalled, silent):
         path = stage.dir / f"{member.name}.toml"
--- a/tests/cell/test_following.py
+++ b/tests/cell/test_following.py
@@ -33,9 +33,7 @@
 
 @pytest.mark.parametrize("history_kept", [True, False])
 async def test_a_change_that_a_deaf_watch_has_missed_is_found(store, stand_in, history_kept):
-    """The store makes a change while its watches hear nothing, and answers them with a revision
-    after that change. A process that went on from there would keep an old configuration for
-    good, and refuse the requests of a queue that was added."""
+    """Guards against an old configuration for good after a watch that showed no change."""
     found = follower(store)
     await found.next(WAIT_S)
     stand_in.trouble.deaf = True
@@ -51,8 +49,7 @@
 
 
 async def test_a_quiet_prefix_is_listed_before_its_history_is_gone(store, stand_in):
-    """Nothing changes for longer than the store keeps its history. The watch would be refused
-    each time; a listing moves it on."""
+    """Guards against a watch that is refused each time where nothing changes for long."""
     found = follower(store, history_s=0.1)
     assert isinstance(await found.next(WAIT_S), Listing)
     assert isinstance(await found.next(WAIT_S), Changes)
--- a/tests/cell/test_inbox.py
+++ b/tests/cell/test_inbox.py
@@ -85,8 +85,7 @@
 
 
 async def test_a_takeover_reads_no_jobs_that_have_ended(store, stand_in):
-    """Jobs that ended in the last minutes outnumber those in progress. Were they read before the
-    first decision, an owner on a slow link would start nothing for seconds."""
+    """Guards against seconds without starts while a new owner reads ended jobs."""
     for index in range(1200):
         stand_in.put(f"{keys.ENDED}{index:016x}", {"phase": "complete"})
     await accept(store, "a")
@@ -98,8 +97,7 @@
 
 @pytest.mark.parametrize("ended", [True, False])
 async def test_a_request_without_a_state_is_removed_only_if_its_job_has_ended(store, ended):
-    """The request of an ended job lies in the store for another two seconds. One whose state is
-    missing for another reason must stay, for an operator to see."""
+    """Guards against the removal of a request whose state is missing for another reason."""
     await accept(store, "a", JobPhase.COMPLETE)
     if not ended:
         await store.commit(Txn(delete=(keys.ENDED + "a",)))
@@ -124,8 +122,7 @@
 
 @pytest.mark.parametrize(("ago_s", "age_s"), [(5.0, 5.0), (-5.0, 0.0), (4000.0, 0.0)])
 async def test_an_inherited_job_keeps_its_age_unless_a_clock_is_wrong(store, ago_s, age_s):
-    """A job has waited through a takeover and can't be done in time any more. Taken for new, it
-    would go before jobs that can."""
+    """Guards against late jobs that go before those that can be done in time."""
     await accept(store, "a", accepted_at_s=time.time() - ago_s)
     found = await inbox(store)
     await found.load()
@@ -133,7 +130,7 @@
     assert time.monotonic() - job.arrived_at == pytest.approx(age_s, abs=0.5)
 
 
-async def test_a_job_told_and_then_seen_in_the_store_is_one_job(store):
+async def test_a_job_of_a_notice_and_of_the_watch_is_one_job(store):
     found = await inbox(store)
     await found.load()
     revision = await accept(store, "a")
@@ -145,8 +142,7 @@
 
 
 async def test_a_job_of_another_ownership_is_not_taken_from_a_notice(store):
-    """The ownership changes hands and back, and a notice meant for the earlier term arrives late.
-    Its job may have been started by the owner between; taken as new it would run twice."""
+    """Guards against a late notice that makes a job run twice."""
     found = await inbox(store)
     await found.load()
     assert not found.accepted(notice("a", revision=99, fence=found.ctx.tenure.fence - 1))
@@ -154,8 +150,7 @@
 
 
 async def test_an_owner_whose_key_was_replaced_stops_before_it_sees_later_jobs(store):
-    """The store takes the owner's key away and another process wins it; a job comes in after
-    that. The former owner must learn of its loss first, or both would start the job."""
+    """Guards against a former owner that starts a job of its successor."""
     found = await inbox(store)
     await found.load()
     await take_ownership(store)
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -71,10 +71,8 @@
 
 
 @pytest.mark.parametrize(("events", "owner"), LATER_NEWS.values(), ids=LATER_NEWS.keys())
-def test_news_from_before_do_not_hide_who_owns_the_work_now(events, owner):
-    """A process takes the work from an owner that is silent, and knows so from the store's answer.
-    Its watch tells only then how the former key has gone. Did it believe that nobody owned the
-    work, it would wait for its turn to win a key that it has, and no job would ever start."""
+def test_older_changes_do_not_hide_who_owns_the_work_now(events, owner):
+    """Guards against an owner that takes its own key for gone and waits for it for good."""
     view = CellView()
     view.owned(OWN)
     view.apply(events)
@@ -98,8 +96,7 @@
 
 
 def test_a_planned_stop_asks_near_processes_first_and_of_these_the_latest():
-    """All processes are restarted in turn. One that has not been restarted yet will be stopped
-    soon, and would hand over again at once."""
+    """Guards against a successor that is the next one to be restarted."""
     view = CellView()
     rows = [("a", NEAR, 1), ("b", NEAR, 9), ("c", FAR, 12), ("own", NEAR, 20)]
     view.replace(
@@ -114,8 +111,7 @@
 
 @pytest.mark.parametrize("lack", WEAK.values(), ids=WEAK.keys())
 def test_weak_hosts_come_last_however_near_the_store(lack):
-    """An owner on a host with a slow link can't read what is in progress while it is being asked
-    for news of 176 hosts, and no job starts."""
+    """Guards against an owner whose link or processor can't bear the work."""
     strong = member("far", store_s=FAR, **STRONG)
     weak = member("near", store_s=NEAR, **{**STRONG, **lack})
     assert [rank(each, [strong, weak], seed=1) for each in (strong, weak)] == [0, 1]
--- a/tests/cell/test_owner_link.py
+++ b/tests/cell/test_owner_link.py
@@ -23,14 +23,14 @@
 
     answer: JobPhase | Silence | None = None
     asked: list[str] = Factory(list)
-    told: list[AcceptedJob] = Factory(list)
+    notified: list[AcceptedJob] = Factory(list)
 
     async def owned_phase(self, member, id, *, timeout_s):
         self.asked.append(id)
         return self.answer
 
     async def job_accepted(self, member, job):
-        self.told.append(job)
+        self.notified.append(job)
         return True
 
     async def pending(self, member, queue):
@@ -42,7 +42,7 @@
 class OwnTerm:
     """Stands in for this process's own term."""
 
-    told: list[AcceptedJob] = Factory(list)
+    notified: list[AcceptedJob] = Factory(list)
 
     def pending(self, queue):
         return 7
@@ -51,7 +51,7 @@
         return JobPhase.RUNNING
 
     def accepted(self, job):
-        self.told.append(job)
+        self.notified.append(job)
         return True
 
 
@@ -70,8 +70,7 @@
 
 
 async def test_an_owner_that_is_silent_is_not_asked_again_at_once():
-    """The owner has been frozen. Each client that asks for a state would first wait for the owner
-    in vain, and hundreds ask."""
+    """Guards against hundreds of clients that each wait for a frozen owner."""
     peers = Peers(answer=Silence(reason="no answer"))
     found = link(peers)
     assert [await found.phase("j") for _ in range(3)] == [None] * 3
@@ -97,18 +96,17 @@
     assert await found.phase("j") is JobPhase.RUNNING
     assert await found.pending("queue") == 7
     found.accepted(JOB)
-    assert (term.told, peers.asked, peers.told) == ([JOB], [], [])
+    assert (term.notified, peers.asked, peers.notified) == ([JOB], [], [])
 
 
-@pytest.mark.parametrize(("fence", "told"), [(5, [JOB]), (6, [])])
-async def test_only_the_owner_that_the_job_was_accepted_under_is_told(fence, told):
-    """The ownership has changed hands since the job was accepted. The new owner finds it on record
-    and must treat it as inherited, as the one before may have started it."""
+@pytest.mark.parametrize(("fence", "notified"), [(5, [JOB]), (6, [])])
+async def test_only_the_owner_that_the_job_was_accepted_under_is_notified(fence, notified):
+    """Guards against a new owner that takes an inherited job for its own."""
     peers = Peers()
     found = link(peers, fence=fence)
     found.accepted(JOB)
     await found.clock.advance(0.0)
-    assert peers.told == told
+    assert peers.notified == notified
 
 
 async def test_counts_are_asked_for_now_and_then_only():
--- a/tests/cell/test_owner_watch.py
+++ b/tests/cell/test_owner_watch.py
@@ -75,9 +75,7 @@
 
 @pytest.mark.parametrize(("owner", "other", "replaced"), CASES.values(), ids=CASES.keys())
 async def test_an_owner_that_does_not_answer_is_replaced(owner, other, replaced):
-    """The process that owns the work is killed or loses its power. Nobody starts a task until its
-    lease has ended, unless the others see that it does not answer. A cut of the process that
-    asks is no reason to change the owner."""
+    """Guards against a dead owner that stays, and a live one replaced by one that is cut off."""
     cell = Cell(peers=Peers(reaches={"owner": owner, "other": other}))
     running = asyncio.create_task(cell.watch.run())
     await asyncio.sleep(DECIDED_S)
@@ -96,8 +94,7 @@
 
 
 async def test_an_owner_that_was_replaced_meanwhile_is_left_alone():
-    """A former owner stops as planned after it has handed over. Were its key taken for the present
-    one's, each planned stop would change the owner twice."""
+    """Guards against a second change of the owner after a planned stop."""
     cell = Cell(peers=Peers(reaches={"owner": Reach.REFUSED, "other": Reach.ANSWERED}))
     running = asyncio.create_task(cell.watch.run())
     await cell.peers.asked.wait()
--- a/tests/cell/test_roster.py
+++ b/tests/cell/test_roster.py
@@ -53,8 +53,7 @@
 
 
 async def test_a_former_owner_can_not_open_a_host(store):
-    """The ownership has changed hands and the former owner does not know yet. Could it open a host
-    on record, it would send orders to a host that its successor takes for idle."""
+    """Guards against orders to a host that the present owner takes for idle."""
     found = await roster(store)
     assert await found.update({"b": CLOSED})
     await take_ownership(store)
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -65,8 +65,7 @@
 
 @pytest.mark.parametrize("willing", [{"b"}, {"c"}])
 async def test_an_owner_that_can_not_load_the_work_passes_it_on(monkeypatch, willing):
-    """A process on a slow link wins the work. It would read what is on record without end and
-    extend its ownership all the while, so that no job starts for as long as it lives."""
+    """Guards against an owner that reads without end and starts no job."""
     monkeypatch.setattr(term_module, "LOAD_S", LOAD_S)
     found = term(Peers(willing=willing), fresh=True)
     await asyncio.wait_for(found.run(), ENDS_S)
@@ -103,8 +102,7 @@
 async def test_an_owner_that_is_cut_off_hands_over_to_a_host_that_can_bear_the_work(
     answers, chosen
 ):
-    """The store turns the owner away. The first other process to answer runs on a host with a slow
-    link; as the owner it could not answer pings any more, and nothing would start for seconds."""
+    """Guards against a successor that falls silent since its host is too small."""
     found = term(Peers(willing=set()), fresh=False)
     members = {name: member(name, link_mbps=100.0) for name in ("own", "strong")}
     found.around.view.members = {**members, "weak": member("weak", link_mbps=5.0)}
@@ -120,8 +118,7 @@
 
 
 async def test_reports_that_come_close_together_share_a_decision(monkeypatch):
-    """176 hosts report and answer 800 times a second. A decision for each of them looks at all
-    hosts, and would take a third of the owner's processor while nothing waits."""
+    """Guards against an owner whose processor is used up by one decision for each report."""
     found = term(Peers(willing=set()), fresh=True)
     decided: list[float] = []
     clock = SystemClock()
--- a/tests/dispatch/test_decision_cost.py
+++ b/tests/dispatch/test_decision_cost.py
@@ -15,8 +15,7 @@
 
 
 def test_a_decision_with_nothing_to_do_walks_through_no_runs():
-    """5,800 tasks run, and hundreds of reports a second each bring about a decision. Walked
-    through each time, the runs would take the owner's whole processor while nothing waits."""
+    """Guards against decisions that take longer the more tasks run."""
     world = World("a", "b")
     world.add(job("j", step(8)))
     world.accept(*world.starts())
--- a/tests/dispatch/test_evacuation.py
+++ b/tests/dispatch/test_evacuation.py
@@ -26,7 +26,7 @@
             for key, run in list(host.running.items()):
                 percent = min(100.0, run.percent + percent_a_second * LOOK_S)
                 host.running[key] = evolve(run, percent=percent)
-        world.hear()
+        world.deliver_reports()
         stops += [order for order in world.decide(LOOK_S) if isinstance(order, StopOrder)]
     return stops
 
@@ -42,9 +42,7 @@
 
 @pytest.mark.parametrize(("pace", "seconds", "stopped"), CASES.values(), ids=CASES.keys())
 def test_what_will_not_end_in_time_begins_elsewhere_before_its_host_leaves(pace, seconds, stopped):
-    """A host is taken away while tasks run there. Left alone they are gone with it, and since a
-    host that has left can't be told from one that is cut off, their job would stand still for
-    another 6 s."""
+    """Guards against tasks that go with their host and wait for its leases to end."""
     world = World("a")
     world.add(job("j", step(estimate=6.0)))
     (order,) = world.starts()
@@ -57,14 +55,13 @@
         return
     other = world.add_host("b")
     world.hosts["a"].end(order, EndKind.STOPPED, checkpoint="saved")
-    world.hear()
+    world.deliver_reports()
     (again,) = world.starts()
     assert (again.host, again.checkpoint) == (other.id, "saved")
 
 
 def test_a_gang_leaves_as_a_whole():
-    """One member of a gang is on a host that leaves. Without it the others only hold their room
-    until the gang has broken."""
+    """Guards against members of a gang that hold their room without the one that left."""
     world = World("a", "b")
     world.add(job("j", step(2, millicores=8000, estimate=9.0, gang=True)))
     orders = world.starts()
@@ -91,9 +88,8 @@
     assert play(world, 3.0, percent_a_second=1.0) == []
 
 
-def test_the_earliest_word_counts_on_when_a_host_leaves():
-    """Entries are up to a heartbeat old when they are read. Counted from the latest, the host
-    would be gone before the last call."""
+def test_the_earliest_entry_counts_for_when_a_host_leaves():
+    """Guards against a host that is gone before its last call for an old entry's sake."""
     world = World("a")
     drain(world, "a")
     world.now += 1.0
--- a/tests/dispatch/test_holds.py
+++ b/tests/dispatch/test_holds.py
@@ -26,7 +26,7 @@
     assert len(orders) == count
     world.accept(*orders)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     return orders
 
 
@@ -35,9 +35,7 @@
 
 
 def test_a_gang_that_finds_no_room_gets_it_from_tasks_that_can_resume():
-    """All hosts are full of small tasks, and whenever one ends another takes its place. The gang
-    needs room for all its tasks at once, so without a hold it would wait until it is late: drums
-    stand unsold while their assay waits."""
+    """Guards against a gang that waits until it is late while small tasks take all room."""
     world = World("a", "b")
     full_of(world)
     world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
@@ -47,7 +45,7 @@
     for order in stopped:
         world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
         world.now += 0.05
-        world.hear()
+        world.deliver_reports()
         assert {start.task.job for start in world.starts()} <= {"gang"}
     assert world.dispatcher.jobs["gang"].started
 
@@ -60,13 +58,13 @@
     for order in stops(world):
         world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     starts = world.starts()
     world.accept(*[order for order in starts if order.task.job == "gang"])
     for order in starts:
         world.hosts[order.host].end(order)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     resumed = world.starts()
     assert {order.checkpoint for order in resumed} == {"saved"}
     assert {order.attempt for order in resumed} == {2}
@@ -83,8 +81,7 @@
 
 @pytest.mark.parametrize("fields", SPARED.values(), ids=SPARED.keys())
 def test_these_are_not_stopped_for_others(fields):
-    """A stop costs the work since the last saved point, and for what lasts its own users. Only
-    tasks that matter less, and lose next to nothing, give way."""
+    """Guards against stops that cost more work, or more users, than they gain."""
     world = World("a", "b")
     full_of(world, **fields)
     world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
@@ -100,13 +97,12 @@
 
 @pytest.mark.parametrize("lasting", [True, False])
 def test_room_of_tasks_that_last_is_not_waited_for(lasting):
-    """Tasks that last report all of their work as done, and stay. Taken for about to end, their
-    hosts would be kept free of other tasks for a gang that can never start there."""
+    """Guards against hosts kept free for a gang that can never start there."""
     world = World("a", "b")
     for order in full_of(world, lasting=True):
         world.hosts[order.host].run(order, percent=100.0)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     gang = step(4, millicores=2 * CORES, gang=True, lasting=lasting)
     world.add(job("gang", gang, queue=WIDE, arrived_at=10.0))
     world.decide()
@@ -122,8 +118,7 @@
 
 
 def test_a_hold_that_came_to_nothing_is_given_back():
-    """One of the tasks that were stopped goes on: its host has not taken the stop. The room that
-    the others gave up must not stay empty for good."""
+    """Guards against held room that stays empty for good after a stop that was lost."""
     world = World("a", "b")
     full_of(world)
     world.add(job("gang", step(4, millicores=2 * CORES, gang=True), queue=WIDE, arrived_at=10.0))
@@ -131,12 +126,12 @@
     for order in stopped[1:]:
         world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     assert world.starts() == []
     started = []
     for _ in range(8):
         world.now += 0.5
-        world.hear()
+        world.deliver_reports()
         started += world.starts()
     assert {order.task.job for order in started} == {"filler"}
     assert len(started) == len(stopped) - 1
--- a/tests/dispatch/test_objective.py
+++ b/tests/dispatch/test_objective.py
@@ -39,9 +39,7 @@
 
 
 def test_after_an_outage_jobs_that_can_be_done_in_time_go_before_those_that_cannot():
-    """For some seconds nobody started tasks. In order of arrival, each job that comes in after
-    that would wait behind the backlog until it is late as well; a user would see seconds of
-    outage turn into tens of seconds of late slips."""
+    """Guards against a backlog in order of arrival that makes all later jobs late."""
     world = World("a", millicores=2 * CORES)
     for index in range(4):
         world.add(job(f"old{index}", step(), queue=SLIPS, arrived_at=world.now - 5.0))
@@ -60,5 +58,5 @@
     world.add(job("fresh", step(), queue=SLIPS, arrived_at=world.now))
     world.hosts["a"].end(order)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     assert [order.task.job for order in world.starts()] == ["fresh"]
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -49,7 +49,7 @@
                 host.running[key] = evolve(run, tail_s=tail_s, percent=100)
             elif self.paces.get(key, 100):
                 host.running[key] = evolve(run, percent=run.percent + 1)
-        self.world.hear()
+        self.world.deliver_reports()
         for order in self.world.decide(LOOK_S):
             if isinstance(order, PaceOrder):
                 self.orders.append(order)
@@ -75,8 +75,7 @@
 
 @pytest.mark.parametrize("each_s", [0.018, 0.03, 0.2], ids=["a little", "by half", "far over"])
 def test_users_are_not_kept_waiting_by_tasks_that_fill_the_host(each_s):
-    """Batch work fills what a service leaves of its host, and disturbs it more than the sizes
-    say. Its users would wait longer than promised for as long as the batch runs."""
+    """Guards against users of a service who wait for as long as a batch runs."""
     users = shared_host(each_s=each_s)
     tails = [users.look() for _ in range(30)]
     over = [tail > GOAL_S for tail in tails]
@@ -104,8 +103,7 @@
 
 
 def test_an_order_without_an_answer_is_given_again():
-    """The answer to a change of pace is lost. Taken as done, the filling task would go on at full
-    pace beside users that wait."""
+    """Guards against a filling task at full pace after a lost answer."""
     users = shared_host(fillers=1, each_s=0.2)
     users.answers = False
     for _ in range(4):
@@ -120,9 +118,8 @@
     assert users.world.starts() == []
 
 
-def test_a_filling_task_that_was_told_to_stand_still_is_not_taken_for_hung():
-    """It makes no progress for as long as it is held. Stopped for that, its work would be lost
-    each time that the service beside it is busy."""
+def test_a_filling_task_with_pace_zero_is_not_taken_for_hung():
+    """Guards against the stop of a task that makes no progress as it is held."""
     users = shared_host(fillers=1, each_s=0.2)
     stops = []
     for _ in range(8):
@@ -132,8 +129,7 @@
 
 
 def test_a_new_owner_sets_the_pace_of_what_it_finds():
-    """The owner changes while a filling task is slowed. The next one can't know that; were the
-    pace not set again, the task would stay slow for good on a host with nobody to disturb."""
+    """Guards against a task that stays slow for good after a change of the owner."""
     world = World("a")
     part = world.hosts["a"]
     world.add(job("fill", filling(), inherited=False))
@@ -142,6 +138,6 @@
     second = World("a")
     second.hosts["a"] = part
     second.add(job("fill", filling()))
-    second.hear()
+    second.deliver_reports()
     orders = [o for o in second.decide() if isinstance(o, PaceOrder)]
     assert [order.percent for order in orders] == [100]
--- a/tests/dispatch/test_retries.py
+++ b/tests/dispatch/test_retries.py
@@ -23,8 +23,7 @@
 
 
 def test_wide_gangs_survive_lost_answers():
-    """A gang of 20 on hosts that lose one answer in 18. Begun anew for each lost answer, two of
-    three such gangs would break, and the work of all members with them."""
+    """Guards against gangs of 20 that break on hosts that lose one answer in 18."""
     world = World(*(f"h{index}" for index in range(20)), millicores=1000)
     world.add(job("g", step(20, gang=True)))
     orders = world.starts()
@@ -44,7 +43,7 @@
 
 
 def test_the_tries_of_a_start_end():
-    """A host answers nothing for good. Sent without end, its task would never start elsewhere."""
+    """Guards against a start that is sent without end to a host that never answers."""
     world = World("a")
     world.add(job("j", step()))
     order = first_start(world)
@@ -59,8 +58,7 @@
 
 @pytest.mark.parametrize("reason", [Refusal.NO_ROOM, Refusal.OLD_ATTEMPT, Refusal.NO_TICKET])
 def test_a_refused_copy_says_nothing_of_the_copy_before(reason):
-    """The first copy is under way for seconds, the second one is refused. Taken for the answer to
-    both, the task would start elsewhere and then run twice."""
+    """Guards against a task that runs twice when the first copy is carried out late."""
     world = World("a", "b")
     world.add(job("j", step()))
     order = first_start(world)
@@ -72,8 +70,7 @@
 
 
 def test_a_start_that_was_not_sent_is_sent_at_once():
-    """The opening packet of a connection is lost. Nothing was sent, so a refusal after all tries
-    is final and the task may start elsewhere."""
+    """Guards against a task that waits though no copy of its start can be carried out."""
     world = World("a", "b")
     world.add(job("j", step()))
     order = first_start(world)
@@ -86,20 +83,19 @@
 
 
 def test_a_restarted_host_gets_no_second_copy():
-    """A host crashes and comes back under its id. Its new life would carry out both copies."""
+    """Guards against a restarted host that carries out both copies of a start."""
     world = World("a")
     world.add(job("j", step()))
     order = first_start(world)
     world.hosts["a"].incarnation = 2
     world.hosts["a"].clock_offset = 0.0
-    world.hear()
+    world.deliver_reports()
     world.answer(order, Unanswered())
     assert world.starts(TIMEOUT_S) == []
 
 
 def test_a_run_that_began_with_a_second_copy_is_stopped_in_a_restarted_host():
-    """The second copy of a start is carried out, and then the host restarts. The first copy may
-    still arrive there; were the task started elsewhere by then, it would run twice."""
+    """Guards against a task that runs twice when a late copy reaches a restarted host."""
     world = World("a", "b")
     world.add(job("j", step()))
     order = first_start(world)
@@ -109,18 +105,18 @@
     part.running.clear()
     part.incarnation = 2
     part.clock_offset = 0.0
-    world.hear()
+    world.deliver_reports()
     (stop,) = world.decide(0.1)
     assert isinstance(stop, StopOrder)
     assert stop.host == order.host
     world.dispatcher.stop_answered(stop.host, stop.task, stop.attempt, world.now)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     assert [item.task for item in world.starts()] == [order.task]
 
 
 def test_a_stopped_start_is_not_sent_again():
-    """A client cancels its job while the start is under way. A copy after the stop is useless."""
+    """Guards against a copy of a start after its client has cancelled the job."""
     world = World("a")
     world.add(job("j", step()))
     order = first_start(world)
@@ -130,7 +126,7 @@
 
 
 def test_a_late_answer_to_an_earlier_copy_counts():
-    """The answer to the first copy arrives while the second one is under way."""
+    """Guards against a run taken for unclear though its first copy was answered."""
     world = World("a")
     world.add(job("j", step()))
     order = first_start(world)
--- a/tests/dispatch/test_silent_hosts.py
+++ b/tests/dispatch/test_silent_hosts.py
@@ -9,9 +9,7 @@
 
 @pytest.mark.parametrize("gang", [False, True])
 def test_tasks_of_a_host_that_died_start_elsewhere_once_their_leases_are_over(gang):
-    """A host dies with its tasks. The owner goes on to ask it, and each try would extend the
-    leases if it were answered. Counted as extended all the same, they would never be over, and
-    the job would stand still for ever with room free everywhere."""
+    """Guards against leases of a dead host that are counted as extended for ever."""
     world = World("a", "b")
     world.add(job("j", step(2, gang=gang)))
     orders = world.starts()
@@ -23,24 +21,23 @@
     while not again and world.now < died_at + 30:
         world.now += 0.5
         world.dispatcher.tracker.hosts[dead].hold(world.now, LEASE_S)
-        world.hear(alive)
+        world.deliver_reports(alive)
         again = world.starts()
     assert {order.host for order in again} == {alive}
     assert LEASE_S <= world.now - died_at <= LEASE_S + 3.0
 
 
 def test_a_host_that_was_cut_off_and_runs_on_keeps_its_tasks_for_their_leases():
-    """A host is cut off and runs on. Its task must not start elsewhere while it may still run;
-    the host answers again in time, and the task is done once."""
+    """Guards against a second run of a task whose host is cut off and runs on."""
     world = World("a", "b")
     world.add(job("j", step()))
     (order,) = world.starts()
     world.accept(order)
     other = "b" if order.host == "a" else "a"
     for _ in range(8):
-        world.hear(other)
+        world.deliver_reports(other)
         assert world.starts(0.5) == []
     world.hosts[order.host].end(order)
-    world.hear()
+    world.deliver_reports()
     assert world.starts() == []
     assert world.dispatcher.jobs["j"].phase.final
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -31,38 +31,33 @@
 
 
 def test_an_adopted_task_is_not_started_again():
-    """An owner stops and hands over. The next one hears from a host that a task runs there. It
-    has never extended that host's leases itself; were they taken for lapsed, the task would
-    start a second time and a slip be printed twice."""
+    """Guards against leases taken for lapsed that a new owner has not extended yet."""
     world = World("a", "b", roster=("a", "b"))
     task = TaskId(job="j", occurrence=0, step=0, index=0)
     world.add(inherited("j", step()))
     running(world.hosts["a"], task, 1)
-    world.hear()
+    world.deliver_reports()
     for _ in range(20):
         assert world.starts(0.2) == []
-        world.hear()
+        world.deliver_reports()
 
 
-def test_what_an_unheard_host_may_run_waits_until_its_leases_are_over():
-    """A host is cut off as the owner dies. The next owner can't hear it, and the host runs the
-    task on. Starting the task elsewhere at once would run it twice; a user would see the job
-    delayed until the leases are over, and then done once."""
+def test_what_an_unconfirmed_host_may_run_waits_until_its_leases_are_over():
+    """Guards against a second run of what an unconfirmed host may run."""
     world = World("a", roster=("a", "b"))
     world.add(inherited("old", step()))
     world.add(job("new", step()))
     assert [order.task.job for order in world.starts()] == ["new"]
     for _ in range(16):
-        world.hear()
+        world.deliver_reports()
         assert world.starts(0.5) == []
     world.now += 0.9
-    world.hear()
+    world.deliver_reports()
     assert [order.task.job for order in world.starts(0.2)] == ["old"]
 
 
 def test_attempts_of_inherited_tasks_are_above_those_of_earlier_owners():
-    """A start that an earlier owner sent is carried out seconds late. Had the new owner used
-    the same attempt number elsewhere, nobody could tell the two runs apart."""
+    """Guards against two runs that nobody can tell apart by their attempt."""
     world = World("a", roster=("a",))
     world.add(inherited("old", step()))
     world.add(job("new", step()))
@@ -72,57 +67,51 @@
 
 @pytest.mark.parametrize("missing", [0, 1, 2])
 def test_a_gang_that_was_started_in_part_is_started_anew_as_a_whole(missing):
-    """The owner dies between the starts of a gang's members. The members that run wait for the
-    others in vain; the next owner must stop them, or the room and the job are lost for the
-    gang's whole waiting time."""
+    """Guards against members that wait in vain after their owner died between two starts."""
     world = World("a", "b", roster=("a", "b"))
     gang = inherited("g", step(3, gang=True))
     world.add(gang)
     for index in range(3):
         if index != missing:
             running(world.hosts["a"], TaskId(job="g", occurrence=0, step=0, index=index), 1)
-    world.hear()
+    world.deliver_reports()
     stops = [order for order in world.decide() if isinstance(order, StopOrder)]
     assert sorted(order.task.index for order in stops) == [i for i in range(3) if i != missing]
     for order in stops:
         world.hosts["a"].end(order, EndKind.STOPPED)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     starts = world.starts()
     assert [order.attempt for order in starts] == [FENCE] * 3
 
 
 def test_a_host_with_a_run_of_an_ended_job_gets_no_task_until_that_run_is_gone():
-    """A job has failed and its other tasks are being stopped as the owner dies. The next owner
-    no longer has the job, so it can't know what these tasks take up. Were they left out of
-    account, the host would get more than it holds and all its tasks would suffer."""
+    """Guards against a host that is given more than it holds."""
     world = World("a", roster=("a",))
     host = world.hosts["a"]
     stranger = TaskId(job="ended", occurrence=0, step=0, index=0)
     running(host, stranger, 1)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     world.add(job("new", step()))
     orders = world.decide()
     assert [type(order) for order in orders] == [StopOrder]
     host.end(orders[0], EndKind.STOPPED)
     world.now += 0.1
-    world.hear()
+    world.deliver_reports()
     assert [order.task.job for order in world.starts()] == ["new"]
 
 
 @pytest.mark.parametrize("gang", [False, True])
 def test_a_failure_that_is_on_record_is_not_counted_again(gang):
-    """The owner records that a run has failed and dies before it lets the host forget that end.
-    The next owner finds it both on record and in the host's list. Counted twice, a job would be
-    shown as failed though its task had attempts left."""
+    """Guards against a job shown as failed with attempts left."""
     before = World("a", roster=())
     first = before.add(job("j", step(gang=gang)))
     orders = before.starts()
     before.accept(*orders)
     before.hosts["a"].end(orders[0], EndKind.FAILED)
     before.now += 0.1
-    before.hear()
+    before.deliver_reports()
     recorded = encode_state(first)
 
     after = World("a", roster=("a",))
@@ -134,7 +123,7 @@
         EndedTask(number=1, task=orders[0].task, attempt=orders[0].attempt, how=EndKind.FAILED)
     ]
     after.now += 0.1
-    after.hear()
+    after.deliver_reports()
     step_state = second.occurrences[0].steps[0]
     failed = step_state.failed_attempts if gang else step_state.tasks[0].failed_attempts
     assert failed == {1}
@@ -148,19 +137,17 @@
 
 
 def test_a_host_that_has_left_holds_up_only_the_jobs_that_it_had():
-    """A host has been emptied and has left, or has died, and a moment later all processes lose
-    power. The next owner can't hear that host. Were every inherited job to wait until its leases
-    must be over, all work would stand still for 8 s for one host that runs nothing."""
+    """Guards against a whole cell that waits for the leases of one host that runs nothing."""
     world = World("a")
     world.dispatcher.succession.unconfirmed = {"b": closed("b", "there")}
     world.add(inherited("there", step()))
     world.add(inherited("elsewhere", step()))
     assert [order.task.job for order in world.starts()] == ["elsewhere"]
     for _ in range(16):
-        world.hear()
+        world.deliver_reports()
         assert world.starts(0.5) == []
     world.now += 1.5
-    world.hear()
+    world.deliver_reports()
     assert [order.task.job for order in world.starts()] == ["there"]
 
 
@@ -179,8 +166,7 @@
 
 
 def test_a_silent_host_is_closed_on_record_with_what_it_may_run_and_opened_before_it_is_used():
-    """A host is cut off for some seconds. While it is closed on record the next owner may take it
-    for idle but for the jobs named there, so it must get no order before the record is undone."""
+    """Guards against orders to a host that the next owner takes for idle."""
     world = World("a", "b")
     world.add(job("j", step(2, millicores=5 * CORES)))
     orders = world.starts()
@@ -189,11 +175,11 @@
     assert {entry.outstanding for entry in roster.values()} == {None}
     for _ in range(4):
         world.now += 0.5
-        world.hear("b")
+        world.deliver_reports("b")
     roster = roster_of(world, **roster)
     assert (roster["a"].outstanding, roster["b"].outstanding) == (("j",), None)
     follow_record(roster, world.dispatcher.tracker.hosts)
-    world.hear()
+    world.deliver_reports()
     world.add(job("new", step(8)))
     assert {order.host for order in world.starts()} == {"b"}
     roster = roster_of(world, **roster)
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -117,10 +117,10 @@
     def add_host(self, id: str, **fields) -> HostPart:
         self.hosts[id] = HostPart(id=id)
         self.dispatcher.host_listed(entry(id, **fields), now=self.now)
-        self.hear(id)
+        self.deliver_reports(id)
         return self.hosts[id]
 
-    def hear(self, *ids: str) -> None:
+    def deliver_reports(self, *ids: str) -> None:
         for id in ids or tuple(self.hosts):
             host = self.dispatcher.tracker.hosts.get(id)
             if host is None:
@@ -142,7 +142,7 @@
         return [order for order in self.decide(seconds) if isinstance(order, StartOrder)]
 
     def accept(self, *orders: StartOrder) -> None:
-        """Let hosts run what they were told to start, and say so."""
+        """Let hosts run the orders and answer them."""
         for order in orders:
             self.hosts[order.host].run(order)
             self.answer(order, Started(clock_s=self.now + 100.0))
--- a/tests/on_platform/test_forms.py
+++ b/tests/on_platform/test_forms.py
@@ -159,8 +159,7 @@
 
 @pytest.mark.parametrize("value", FOREIGN.values(), ids=FOREIGN.keys())
 async def test_an_entry_of_another_writer_is_skipped_and_the_others_hold(value):
-    """Another program writes among the hosts' registrations. Were the whole list refused for it,
-    no task would start anywhere."""
+    """Guards against a host list that is refused as a whole for one foreign entry."""
     directory = PlatformDirectory(store=_Listed(value, json.dumps(ENTRY).encode()))
     assert [entry.id for entry in await directory.hosts()] == ["i-1"]
 
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -54,8 +54,7 @@
 async def test_a_large_answer_may_take_its_time_while_it_makes_progress(
     timeout_s, longest_s, whole
 ):
-    """A listing takes a slow link longer than one time limit. Cut off there and read again from
-    its start each time, it would never end, and a new owner would never begin."""
+    """Guards against a listing that is cut off and read again without end on a slow link."""
     server = await asyncio.start_server(answer_slowly, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     client = JsonClient()
@@ -82,9 +81,7 @@
 
 
 async def test_a_lost_opening_packet_costs_a_third_of_a_second(full_queue):
-    """A packet is lost as a process connects to the store, on a bad link or at a busy host. It
-    would be sent again after a second; a new owner that reads its jobs would start nothing until
-    then."""
+    """Guards against a second without starts for one lost packet."""
     loop = asyncio.get_running_loop()
     client = JsonClient()
     ip, port = full_queue.getsockname()
--- a/tests/on_platform/test_serving.py
+++ b/tests/on_platform/test_serving.py
@@ -13,9 +13,7 @@
 
 
 def test_an_address_that_another_process_has_is_refused_at_once():
-    """Two processes start at the same moment and both bind one port, which the system allows
-    until one listens. If the second were told only later, it would end although it could have
-    served on without its metrics."""
+    """Guards against two processes that bind one port and fail only as they listen."""
     first = listen("127.0.0.1:0")
     with pytest.raises(OSError):
         listen(address_of(first))
@@ -23,8 +21,7 @@
 
 
 async def test_a_process_whose_address_is_taken_says_so_and_ends(tmp_path):
-    """Another program has the clients' port. The operator sees one line that names the address,
-    not a traceback."""
+    """Guards against a traceback in place of a line that names the address."""
     taken = listen("127.0.0.1:0")
     settings = tmp_path / "node.toml"
     settings.write_text(f"""\
--- a/tests/on_platform/test_store.py
+++ b/tests/on_platform/test_store.py
@@ -49,8 +49,7 @@
 
 
 async def test_a_write_without_an_answer_is_unclear(store, stand_in):
-    """The store carries a write out and its answer is lost. Taken for refused, a job would be
-    denied to its client and run all the same."""
+    """Guards against a job denied to its client that runs all the same."""
     stand_in.trouble.lose_every = 1
     with pytest.raises(StoreUnclear):
         await store.commit(Txn(put=(Put(key="a", value=b"1"),)))
