Give long tasks time for one percent of progress before they are taken for hung

Cause: a task whose progress, in whole percent, has not moved for 2.5 s was stopped. A task of more than 250 s shows no progress for that long though it works: it would have been stopped again and again, and its job never done. Found by reading; no deployment in hand has tasks of more than a minute.

Ruled out: a longer fixed time, which leaves short tasks hung for longer.

Change: the time is also four percent of the run's length, by its estimate or by its progress so far, whichever is longer.

--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -6,9 +6,10 @@
 from rhubarbferry.dispatch.job import Run, RunPhase
 from rhubarbferry.dispatch.messages import FULL_PERCENT
 
-# A task whose progress has not moved for this long hangs. Progress is reported in whole percent, so
-# this bounds the length of tasks at a hundred times as much.
+# A task whose progress has not moved for this long hangs, unless it is so long that so many percent
+# of it take more time: progress is reported in whole percent, and estimates may be far too low.
 HUNG_S = 2.5
+HUNG_PERCENT = 4.0
 
 
 def hung_runs(host: Host, now: float) -> list[Run]:
@@ -22,7 +23,7 @@
 def _is_hung(run: Run, now: float) -> bool:
     if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
         return False
-    if run.task.step.req.lasting or now - run.progress_at < HUNG_S:
+    if run.task.step.req.lasting or now - run.progress_at < _patience_s(run):
         return False
     if run.task.step.req.filling and run.pace != FULL_PERCENT:
         # Its pace was reduced on purpose.
@@ -30,6 +31,14 @@
     return not _waits_for_gang(run, now)
 
 
+def _patience_s(run: Run) -> float:
+    """Return how long the progress of a run may stand still."""
+    length_s = run.task.step.req.estimate_s
+    if run.percent > 0:
+        length_s = max(length_s, (run.progress_at - run.ordered_at) * 100 / run.percent)
+    return max(HUNG_S, length_s * HUNG_PERCENT / 100)
+
+
 def _waits_for_gang(run: Run, now: float) -> bool:
     """Tell whether a gang's run may stand still since other members are not there yet."""
     step = run.task.step
