--- a/tests/dispatch/host_model.py
+++ b/tests/dispatch/host_model.py
@@ -39,6 +39,7 @@
     hosts: dict[str, HostModel] = Factory(dict)
     done: set[TaskId] = Factory(set)
     noted_done: set[TaskId] = Factory(set)
+    begun_after_done: set[TaskId] = Factory(set)
     noted_failed: dict[TaskId, set[int]] = Factory(dict)
 
     def request(self, task: TaskId) -> StepRequest:
@@ -56,6 +57,8 @@
             raise RuleBroken(f"{task} runs twice")
         if task in self.noted_done:
             raise RuleBroken(f"{task} starts though its end was taken note of")
+        if task in self.done:
+            self.begun_after_done.add(task)
         failed = self.noted_failed.get(task, set())
         if not req.gang and len(failed) >= self.attempts:
             raise RuleBroken(f"{task} starts after {len(failed)} failures")
@@ -68,6 +71,8 @@
 
     def noted(self, ended: EndedTask) -> None:
         if ended.how is EndKind.DONE:
+            if ended.task in self.begun_after_done:
+                raise RuleBroken(f"{ended.task} was begun again before its end was taken note of")
             self.noted_done.add(ended.task)
         elif ended.how is EndKind.FAILED:
             self.noted_failed.setdefault(ended.task, set()).add(ended.attempt)
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -80,6 +80,7 @@
         self.records: dict[str, tuple[JobRequest, Queue, bytes | None, int]] = {}
         self.ended: dict[str, JobPhase] = {}
         self.cut: set[str] = set()
+        self.reports_lost: set[str] = set()
         self.roster: dict[str, RosterEntry] = {}
         self.fates: dict[str, list[Fate]] = {}
         for index, rate in enumerate(rates):
@@ -133,9 +134,15 @@
     def cut_off(self, host):
         self.cut.add(f"h{host}")
 
+    @rule(host=st.integers(0, HOSTS - 1))
+    def lose_reports(self, host):
+        """Orders reach a host and its reports don't come back."""
+        self.reports_lost.add(f"h{host}")
+
     @rule()
     def heal(self):
         self.cut.clear()
+        self.reports_lost.clear()
         self.fates.clear()
 
     @rule(host=st.integers(0, HOSTS - 1), at_once=st.booleans())
@@ -253,6 +260,8 @@
             return
         report = host.hold(self.fence, deadline_s, state.recorded_end)
         assert report is not None
+        if host.id in self.reports_lost:
+            return
         self.dispatcher.reported(host.id, report, sent_at=self.now, now=self.now)
 
     def send(self, order) -> None:
