--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -108,16 +108,16 @@
     """Return the times without an owner: from the last line of one to the next one's work."""
     gaps: list[Gap] = []
     owner = ""
-    owned_until = 0.0
+    owned_until: float | None = None
     for line in lines:
         match line.event:
             case "term.settled":
-                if owner and owner != line.member:
+                if owned_until is not None and owner != line.member:
                     gaps.append(Gap(start=owned_until, end=line.at))
                 owner, owned_until = line.member, line.at
             case "process.started" | "term.ended" if line.member == owner:
-                # A process that was killed has not said so: its last line was before.
-                owner = f"{owner} before"
+                # A process that is killed writes no line of its end, only of its next start.
+                owner = ""
             case _ if line.member == owner:
                 owned_until = line.at
     return gaps
--- a/tests/reports/test_losses.py
+++ b/tests/reports/test_losses.py
@@ -115,6 +115,20 @@
         Verdict.LATE,
         Cause.OWNER,
     ),
+    "an owner that was killed and came back": (
+        [
+            (0, SETTLED),
+            (0, ACCEPTED),
+            (0, TAKEN),
+            (0.1, STARTED),
+            (0.5, KILLED),
+            (4, SETTLED),
+            (4, DONE),
+            (4.1, COMPLETE),
+        ],
+        Verdict.LATE,
+        Cause.OWNER,
+    ),
 }
 
 
