Look runs up in one place, and take the tracker's orders from one list

Four methods of the dispatcher spelled the same look-up out; stops and starts to be sent again lay in two lists that were always taken together. Orders of one decision now go out in the order in which they arose.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -166,29 +166,27 @@
         self, id: str, task: TaskId, attempt: int, result: OrderResult, *, now: float
     ) -> None:
         """Work in the answer to a start."""
-        host = self.tracker.hosts.get(id)
-        run = host.runs.get((task, attempt)) if host is not None else None
-        if host is not None and run is not None:
+        run = self.tracker.run(id, task, attempt)
+        if run is not None:
+            host = self.tracker.hosts[id]
             self._apply(self.tracker.start_answered(host, run, result, now=now), now)
 
     def unclear(self, id: str, task: TaskId, attempt: int) -> bool:
         """Tell whether it is still open what has become of a start."""
-        host = self.tracker.hosts.get(id)
-        run = host.runs.get((task, attempt)) if host is not None else None
+        run = self.tracker.run(id, task, attempt)
         return run is not None and run.phase is RunPhase.UNCLEAR
 
     def stop_answered(self, id: str, task: TaskId, attempt: int, clock_s: float) -> None:
         """Note that a host took a stop."""
-        host = self.tracker.hosts.get(id)
-        if host is not None:
-            self.tracker.stop_answered(host, (task, attempt), clock_s)
+        run = self.tracker.run(id, task, attempt)
+        if run is not None:
+            self.tracker.stop_answered(run, clock_s)
 
     def pace_answered(
         self, id: str, task: TaskId, attempt: int, percent: int, *, now: float
     ) -> None:
         """Note that a host lets a run work at a pace."""
-        host = self.tracker.hosts.get(id)
-        run = host.runs.get((task, attempt)) if host is not None else None
+        run = self.tracker.run(id, task, attempt)
         if run is not None:
             run.pace = percent
             # From here on it must show progress, if it is to work at all.
@@ -243,8 +241,7 @@
             if self._ejector.ejected():
                 # A host on probation takes one task at a time.
                 open_hosts = self._open_hosts(now)
-        orders += self.tracker.take_retries()
-        orders += self.tracker.take_stops()
+        orders += self.tracker.take_orders()
         orders += self.pacing.take_orders()
         return orders
 
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -73,16 +73,14 @@
 
     :param jobs: the jobs that have not ended, by id.
     :param lease_s: longest task lease that a host grants.
-    :ivar stops: orders to stop runs, to be taken by the caller.
-    :ivar retries: starts to be sent again, to be taken by the caller.
+    :ivar orders: stops, and starts to be sent again, to be taken by the caller.
     :ivar changed: hosts whose room or state has changed since the last look.
     """
 
     jobs: dict[str, Job]
     lease_s: float
     hosts: dict[str, Host] = Factory(dict)
-    stops: list[StopOrder] = Factory(list)
-    retries: list[StartOrder] = Factory(list)
+    orders: list[StartOrder | StopOrder] = Factory(list)
     changed: set[str] = Factory(set)
 
     # ------------------------------------------------------------ the host list
@@ -243,7 +241,7 @@
         if now - host.unknown_runs.get(key, -math.inf) < STOP_AGAIN_S:
             return
         host.unknown_runs[key] = now
-        self.stops.append(
+        self.orders.append(
             StopOrder(
                 host=host.id,
                 task=running.task,
@@ -320,7 +318,7 @@
         if order is None:
             return False
         run.order = order
-        self.retries.append(order)
+        self.orders.append(order)
         return True
 
     def _note_unclear(self, host: Host, run: Run, now: float) -> None:
@@ -328,10 +326,9 @@
             run.phase = RunPhase.UNCLEAR
             host.blocked_until = max(host.blocked_until, now + UNANSWERED_PAUSE_S)
 
-    def stop_answered(self, host: Host, run_key: tuple[TaskId, int], clock_s: float) -> None:
+    def stop_answered(self, run: Run, clock_s: float) -> None:
         """Note that a host took a stop: from now on it refuses to start that run."""
-        run = host.runs.get(run_key)
-        if run is not None and run.phase is RunPhase.UNCLEAR:
+        if run.phase is RunPhase.UNCLEAR:
             run.deadline_s = min(run.deadline_s, clock_s)
 
     # ------------------------------------------------------------ time
@@ -367,15 +364,15 @@
 
     # ------------------------------------------------------------ runs
 
-    def take_stops(self) -> list[StopOrder]:
-        """Return the orders to stop runs since the last call."""
-        stops, self.stops = self.stops, []
-        return stops
+    def take_orders(self) -> list[StartOrder | StopOrder]:
+        """Return the stops, and the starts to be sent again, since the last call."""
+        orders, self.orders = self.orders, []
+        return orders
 
-    def take_retries(self) -> list[StartOrder]:
-        """Return the starts to be sent again since the last call."""
-        retries, self.retries = self.retries, []
-        return retries
+    def run(self, host: str, task: TaskId, attempt: int) -> Run | None:
+        """Return a run on a host that has not ended."""
+        found = self.hosts.get(host)
+        return found.runs.get((task, attempt)) if found is not None else None
 
     def task(self, id: TaskId) -> Task | None:
         """Return a task of a job that has not ended."""
@@ -421,7 +418,7 @@
             self._send_stop(run, "still listed after a stop")
 
     def _send_stop(self, run: Run, reason: str) -> None:
-        self.stops.append(
+        self.orders.append(
             StopOrder(host=run.host, task=run.task.id, attempt=run.attempt, reason=reason)
         )
 
