Give the owner's orders one way to note failures, and their lines one form

A stop and a change of pace looked their host up, ended the tenure and logged a missing answer in the same words; three lines of the log named an order alike.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -47,7 +47,7 @@
     log: EventLog
 
     def start(self, order: StartOrder, result: OrderResult, *, took_s: float, fence: int) -> None:
-        """Tell of a start and its answer."""
+        """Log a start and its answer."""
         match result:
             case Started():
                 outcome = "started"
@@ -57,12 +57,9 @@
                 outcome = f"unanswered: {detail}"[:200]
         STARTS.labels(outcome.partition(":")[0]).inc()
         START_SECONDS.observe(took_s)
-        self.log.emit(
+        self._emit(
             "task.start",
-            job=order.task.job,
-            task=label(order.task),
-            attempt=order.attempt,
-            host=order.host,
+            order,
             fence=fence,
             checkpoint=order.checkpoint or None,
             retries=order.retries,
@@ -71,27 +68,23 @@
         )
 
     def stop(self, order: StopOrder, *, outcome: str) -> None:
-        """Tell of a stop and its answer."""
-        self.log.emit(
-            "task.stop",
-            job=order.task.job,
-            task=label(order.task),
-            attempt=order.attempt,
-            host=order.host,
-            reason=order.reason,
-            outcome=outcome,
-        )
+        """Log a stop and its answer."""
+        self._emit("task.stop", order, reason=order.reason, outcome=outcome)
 
     def pace(self, order: PaceOrder, *, outcome: str) -> None:
-        """Tell of a change of pace and its answer."""
+        """Log a change of pace and its answer."""
+        self._emit("task.pace", order, percent=order.percent, outcome=outcome)
+
+    def _emit(
+        self, event: str, order: StartOrder | StopOrder | PaceOrder, **fields: object
+    ) -> None:
         self.log.emit(
-            "task.pace",
+            event,
             job=order.task.job,
             task=label(order.task),
             attempt=order.attempt,
             host=order.host,
-            percent=order.percent,
-            outcome=outcome,
+            **fields,
         )
 
     def advice(
@@ -102,7 +95,7 @@
         took_s: float = 0.0,
         reason: str = "",
     ) -> None:
-        """Tell of a question for approval and its answer."""
+        """Log a question for approval and its answer."""
         order = assignment.order
         if approved is None:
             ADVICE_FAILED.inc()
@@ -120,7 +113,7 @@
         )
 
     def outcomes(self, dispatcher: Dispatcher) -> None:
-        """Tell of the runs that have ended or were given up since the last call."""
+        """Log the runs that have ended or were given up since the last call."""
         notes, dispatcher.notes = dispatcher.notes, []
         for note in notes:
             match note:
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -1,8 +1,9 @@
-"""Carry out what the dispatcher has decided, and tell it what came of it."""
+"""Carry out the dispatcher's orders and report their outcomes to it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from attrs import define, field
@@ -12,6 +13,7 @@
 from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.host_watch import HostWatch
 from rhubarbferry.cell.members import Member
+from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.messages import (
     Advice,
     AdviceOrder,
@@ -94,39 +96,45 @@
             await watch.look_once()
 
     async def _stop(self, order: StopOrder) -> None:
-        host = self.ctx.dispatcher.tracker.hosts.get(order.host)
-        if host is None or not self.ctx.tenure.holds():
+        host = self._host(order)
+        if host is None:
             return
-        try:
+        with self._failures_noted(order, self.log.stop):
             clock_s = await self.ctx.around.workers.stop(
                 host.entry, order, fence=self.ctx.tenure.fence
             )
-        except FenceStale as exc:
-            self.ctx.tenure.end(f"host {order.host}: {exc}")
-            return
-        except WorkerError as exc:
-            self.log.stop(order, outcome=f"no answer: {exc}"[:200])
-            return
-        self.log.stop(order, outcome="taken")
-        self.ctx.dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
+            self.log.stop(order, outcome="taken")
+            self.ctx.dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
 
     async def _pace(self, order: PaceOrder) -> None:
-        """Tell a host at which pace a run may work; the next report asks again where it fails."""
-        host = self.ctx.dispatcher.tracker.hosts.get(order.host)
-        if host is None or not self.ctx.tenure.holds():
+        """Set the pace of a run; where that fails, the next report asks for it again."""
+        host = self._host(order)
+        if host is None:
             return
-        try:
+        with self._failures_noted(order, self.log.pace):
             await self.ctx.around.workers.pace(host.entry, order, fence=self.ctx.tenure.fence)
+            self.log.pace(order, outcome="taken")
+            self.ctx.dispatcher.pace_answered(
+                order.host, order.task, order.attempt, order.percent, now=self.ctx.now()
+            )
+
+    def _host(self, order: StopOrder | PaceOrder) -> Host | None:
+        """Return the host of an order, ``None`` where it may not or can't be carried out."""
+        if not self.ctx.tenure.holds():
+            return None
+        return self.ctx.dispatcher.tracker.hosts.get(order.host)
+
+    @contextmanager
+    def _failures_noted(
+        self, order: StopOrder | PaceOrder, log: Callable[..., None]
+    ) -> Iterator[None]:
+        """Log that a host gave no answer, or end the tenure where it has a later owner's orders."""
+        try:
+            yield
         except FenceStale as exc:
             self.ctx.tenure.end(f"host {order.host}: {exc}")
-            return
         except WorkerError as exc:
-            self.log.pace(order, outcome=f"no answer: {exc}"[:200])
-            return
-        self.log.pace(order, outcome="taken")
-        self.ctx.dispatcher.pace_answered(
-            order.host, order.task, order.attempt, order.percent, now=self.ctx.now()
-        )
+            log(order, outcome=f"no answer: {exc}"[:200])
 
     async def _ask(self, assignment: Assignment) -> None:
         order = assignment.order
