Hand the work over in one place, and note it on the tenure

A planned stop and an owner that can't load asked the same successors in loops of their own, and the candidate kept the fence number of what was handed over beside the tenure that has it. The hand-over of an owner that can't load is now logged as owner.hands_over too, and ends when its tenure does.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -11,14 +11,8 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.context import Surroundings, Tenure
 from rhubarbferry.cell.following import PrefixFollower
-from rhubarbferry.cell.members import (
-    SUCCESSORS_ASKED,
-    Member,
-    Ownership,
-    encode_member,
-    rank,
-    successors,
-)
+from rhubarbferry.cell.hand_over import hand_over
+from rhubarbferry.cell.members import Member, Ownership, encode_member, rank
 from rhubarbferry.cell.term import Term
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.ports.store import (
@@ -60,7 +54,6 @@
     _running: asyncio.Task[None] | None = None
     _follower: PrefixFollower = field(init=False)
     _won: asyncio.Event = field(factory=asyncio.Event)
-    _handed_over: int = 0
     _registered: int = 0
     _free_since: float | None = None
     _election: int = 0
@@ -150,21 +143,9 @@
         return self.around.clock.monotonic() < self._overloaded_until
 
     async def _hand_over(self, term: Term) -> None:
-        """Let another process replace the owner's key while this one still decides.
-
-        Were the key removed first, nothing would start until another process has seen it,
-        has had its turn and has written its own: 5 s of a rolling restart beside a slow store.
-        """
-        fence = term.tenure.fence
-        for member in successors(self.around.own, self.around.view)[:SUCCESSORS_ASKED]:
-            if not term.tenure.holds():
-                return
-            taken = await self.around.peers.take_over(member, fence)
-            self.around.log.emit("owner.hands_over", fence=fence, to=member.name, outcome=taken)
-            if taken:
-                term.tenure.end(f"handed over to {member.name}")
-                self._handed_over = fence
-                return
+        member = await hand_over(self.around, term.tenure)
+        if member is not None:
+            term.tenure.end(f"handed over to {member.name}")
 
     async def _step(self) -> None:
         lease = self.around.keeper.held()
@@ -293,8 +274,6 @@
         self.term = None
         if term.overloaded:
             self._overloaded_until = self.around.clock.monotonic() + OVERLOADED_S
-            # Its successor has replaced the key, so there is none to remove.
-            self._handed_over = tenure.fence
         await self._give_up(term)
         self._follower.restart()
         if failed:
@@ -303,7 +282,7 @@
     async def _give_up(self, term: Term) -> None:
         tenure = term.tenure
         self.around.log.emit("term.ended", fence=tenure.fence, reason=tenure.ended or "left")
-        if tenure.fence == self._handed_over or await self._key_removed(term):
+        if tenure.handed_over or await self._key_removed(term):
             return
         # The key may still be there, under a lease that this process goes on to extend: then
         # nobody would do the work. Without the lease the key ends within its time.
--- a/rhubarbferry/cell/context.py
+++ b/rhubarbferry/cell/context.py
@@ -30,12 +30,14 @@
     """Whether this process owns the work, by the lease that it won it under.
 
     :param fence: the store's revision of the owner's key.
+    :ivar handed_over: whether another process has replaced the key at this one's request.
     """
 
     keeper: LeaseKeeper
     lease_id: int
     fence: int
     ended: str = ""
+    handed_over: bool = False
 
     def holds(self) -> bool:
         """Tell whether it may act now. Ask right before each act, with nothing awaited between."""
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -124,8 +124,6 @@
 ALIKE_S = 0.02
 # A host with less than this share of the largest processor or link in the cell is a weak one.
 WEAK_SHARE = 0.5
-# An owner that gives the work up asks this many others to take over.
-SUCCESSORS_ASKED = 2
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -12,10 +12,11 @@
 from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.context import OwnershipLost, Surroundings, Tenure, TermContext
 from rhubarbferry.cell.decision_log import DecisionLog
+from rhubarbferry.cell.hand_over import hand_over
 from rhubarbferry.cell.host_watch import HostWatch
 from rhubarbferry.cell.inbox import Inbox
 from rhubarbferry.cell.lease import TTL_S
-from rhubarbferry.cell.members import SUCCESSORS_ASKED, Member, successors
+from rhubarbferry.cell.members import Member, successors
 from rhubarbferry.cell.orders import Orders
 from rhubarbferry.cell.owned_work import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
@@ -155,12 +156,10 @@
             await asyncio.gather(loading, return_exceptions=True)
 
     async def _pass_on(self) -> None:
-        """Let another process replace the owner's key, if one will."""
-        for member in successors(self.around.own, self.around.view)[:SUCCESSORS_ASKED]:
-            if await self.around.peers.take_over(member, self.tenure.fence):
-                self.overloaded = True
-                self.tenure.end(f"not loaded after {LOAD_S} s; passed on to {member.name}")
-                return
+        member = await hand_over(self.around, self.tenure)
+        if member is not None:
+            self.overloaded = True
+            self.tenure.end(f"not loaded after {LOAD_S} s; passed on to {member.name}")
 
     async def _load(self) -> None:
         while True:
