Let the report of losses add up where it counts, not in its command

The command rebuilt averages from rows; with the same key for all windows the report gives the totals itself. A test says that they are the sum of the rows.

--- a/rhubarbferry/management/commands/losses.py
+++ b/rhubarbferry/management/commands/losses.py
@@ -6,8 +6,6 @@
 from itertools import chain
 from pathlib import Path
 
-from attrs import evolve
-
 from rhubarbferry.management.exits import Exit
 from rhubarbferry.management.output import Format, print_rows
 from rhubarbferry.reports.losses import LossRow, lines_left_out, losses, parse_lines
@@ -27,8 +25,7 @@
     left_out = lines_left_out(lines)
     if left_out:
         print(f"{left_out} lines were left out by the processes; sums are low", file=sys.stderr)
-    rows = losses(lines)
-    print_rows(_totals(rows) if total else rows, kind=LossRow, format=format)
+    print_rows(losses(lines, total=total), kind=LossRow, format=format)
     return Exit.OK
 
 
@@ -36,22 +33,3 @@
     if str(file) == "-":
         return sys.stdin.read().splitlines()
     return file.read_text(encoding="utf-8", errors="replace").splitlines()
-
-
-def _totals(rows: list[LossRow]) -> list[LossRow]:
-    found: dict[str, LossRow] = {}
-    for row in rows:
-        known = found.get(row.cause)
-        if known is None:
-            found[row.cause] = evolve(row, window_s=0.0, queue="")
-            continue
-        lost = known.lost + row.lost
-        found[row.cause] = evolve(
-            known,
-            late=known.late + row.late,
-            missed=known.missed + row.missed,
-            refused=known.refused + row.refused,
-            failed=known.failed + row.failed,
-            waited_s=(known.waited_s * known.lost + row.waited_s * row.lost) / lost,
-        )
-    return sorted(found.values(), key=lambda row: -row.lost)
--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -130,9 +130,9 @@
 
 @define(kw_only=True, eq=False)
 class JobTrace:
-    """What the lines tell of one job.
+    """What the lines show of one job.
 
-    :ivar first_at: when the first process heard of it.
+    :ivar first_at: time of its first line.
     :ivar ended_at: when its end was on record, ``None`` before that.
     :ivar waited: seconds by cause.
     """
@@ -315,10 +315,11 @@
     return list(traces.values())
 
 
-def losses(lines: list[Line]) -> list[LossRow]:
+def losses(lines: list[Line], *, total: bool = False) -> list[LossRow]:
     """Return what was lost, a row for each window, queue and cause; their sums are all jobs lost.
 
     :param lines: of all processes of a cell, in order of time.
+    :param total: give a row for each cause alone, that of most jobs first.
     """
     if not lines:
         return []
@@ -331,10 +332,10 @@
         if verdict not in LOST:
             continue
         window_s = (trace.first_at - begin) // WINDOW_S * WINDOW_S
-        key = (window_s, trace.queue, trace.cause())
+        key = (0.0, "", trace.cause()) if total else (window_s, trace.queue, trace.cause())
         counts[key][verdict] += 1
         waited[key] += trace.waited[trace.cause()]
-    return [
+    rows = [
         LossRow(
             window_s=window_s,
             queue=queue,
@@ -347,3 +348,4 @@
         )
         for (window_s, queue, cause), found in sorted(counts.items())
     ]
+    return sorted(rows, key=lambda row: -row.lost) if total else rows
--- a/tests/reports/test_losses.py
+++ b/tests/reports/test_losses.py
@@ -1,4 +1,4 @@
-"""Why jobs were late, told from the lines of a cell."""
+"""Why jobs were late, from the lines of a cell."""
 
 from __future__ import annotations
 
@@ -146,6 +146,20 @@
     assert sum(row.lost for row in rows) == (verdict is not Verdict.IN_TIME)
 
 
+def test_totals_add_up_to_the_rows_by_window():
+    stories = [texts(story) for story, _, cause in STORIES.values() if cause is Cause.ROOM]
+    renamed = [
+        text.replace('"job": "j"', f'"job": "j{index}"')
+        for index, story in enumerate(stories)
+        for text in story
+    ]
+    lines = parse_lines(renamed)
+    (total,) = losses(lines, total=True)
+    rows = losses(lines)
+    assert total.cause == Cause.ROOM.value
+    assert total.lost == sum(row.lost for row in rows) == len(stories)
+
+
 def test_lines_of_others_are_left_out():
     found = parse_lines(["", "no line", "{", '{"at": 1}', *texts([(0, ACCEPTED)])])
     assert [line.event for line in found] == ["job.accepted"]
