--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -75,7 +75,7 @@
         return self._size + self._inner.get_write_buffer_size()
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        """Set when the protocol is told to stop writing."""
+        """Set when the protocol has to stop writing."""
         self._inner.set_write_buffer_limits(high, low)
 
     def pause_reading(self) -> None:
--- a/rhubarbferry/test/platform_worker.py
+++ b/rhubarbferry/test/platform_worker.py
@@ -26,7 +26,7 @@
     """A run of a task.
 
     :param ends_at: steady time at which its work is done.
-    :param pace: share of its speed, in percent, that it was last told to work at.
+    :param pace: share of its speed, in percent, as last ordered.
     """
 
     task: str
--- a/tests/core/test_promise.py
+++ b/tests/core/test_promise.py
@@ -39,8 +39,8 @@
 def test_a_promise_is_given_up_by_its_holder_only(epoch, owner, accepted):
     """A scheduler hands over as planned and says so to the guards.
 
-    Were its word not heard, callers would get no slot until the promise has run out; were it
-    heard from the wrong one or too late, two owners could act.
+    Were its release not received, callers would get no slot until the promise has run out; were it
+    received from the wrong one or too late, two owners could act.
     """
     guard = GuardState()
     guard.acknowledge(epoch=2, owner="a", now=10.0)
@@ -353,7 +353,7 @@
 
 
 def given_up_late(machine):
-    """The owner hands over, wins anew under a higher epoch, and only then is its word heard."""
+    """The owner hands over, wins anew under a higher epoch, and only then does its release arrive."""
     machine.hand_over(0, set("abc"))
     machine.take_over(0)
     machine.adopt(0, set("abc"))
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from functools import partial
 
 import pytest
 
@@ -15,17 +16,6 @@
 FULL_S = 0.1
 
 
-async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    try:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(ANSWER)
-        await writer.drain()
-    except (asyncio.IncompleteReadError, ConnectionError):
-        pass
-    finally:
-        writer.close()
-
-
 # A large answer on a slow link: so many parts, each after this pause.
 PARTS = 8
 PART_S = 0.1
@@ -33,14 +23,21 @@
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (PARTS * len(PART))
 
 
-async def answer_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def answer(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    *,
+    head: bytes = ANSWER,
+    parts: int = 0,
+) -> None:
     try:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD)
-        for _ in range(PARTS):
+        writer.write(head)
+        for _ in range(parts):
             await asyncio.sleep(PART_S)
             writer.write(PART)
             await writer.drain()
+        await writer.drain()
     except (asyncio.IncompleteReadError, ConnectionError):
         pass
     finally:
@@ -55,7 +52,8 @@
     timeout_s, longest_s, whole
 ):
     """Guards against a listing that is cut off and read again without end on a slow link."""
-    server = await asyncio.start_server(answer_slowly, "127.0.0.1", 0)
+    slowly = partial(answer, head=HEAD, parts=PARTS)
+    server = await asyncio.start_server(slowly, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     client = JsonClient()
     call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=timeout_s, longest_s=longest_s)
