--- a/tests/core/test_promise.py
+++ b/tests/core/test_promise.py
@@ -353,7 +353,7 @@
 
 
 def given_up_late(machine):
-    """The owner hands over, wins anew under a higher epoch, and only then does its release arrive."""
+    """The owner hands over, wins anew under a higher epoch, and only then its release arrives."""
     machine.hand_over(0, set("abc"))
     machine.take_over(0)
     machine.adopt(0, set("abc"))
