Say how a configuration was read, and how far a failed call of the store had come

The lines could not keep three causes of a late configuration apart: a transfer cut off by a time limit, a silent connection, a slow decoder. configuration.in_force now gives source, size, transfer and decoding time, a failed call its duration and the bytes that had arrived; the histogram of transfers, the gauge of the version and the label 'cut off' give the same as metrics. No decision changes.

--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
+from prometheus_client import Gauge
 
 from rhubarbferry.cell.following import PrefixFollower
 from rhubarbferry.cell.logs import EventLog
@@ -13,6 +14,10 @@
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import Changes, KeyPut, KeyValue, Listing, StoreError, TxnStore
 
+VERSION = Gauge(
+    "rhubarbferry_configuration_version", "The operators' version of the configuration in force"
+)
+
 # Short enough to find a silent connection and to read a new configuration in its time.
 WATCH_S = 2.4
 RETRY_S = 0.3
@@ -54,36 +59,42 @@
             try:
                 await self._follow()
             except StoreError as exc:
-                self.log.emit("configuration.not_read", reason=str(exc)[:200])
+                self.log.emit("configuration.not_read", reason=str(exc)[:300])
                 # The watch may have gone silent long before, so what it has missed is read first.
                 self._follower.restart()
                 await asyncio.sleep(RETRY_S)
 
     async def _follow(self) -> None:
         match await self._follower.next(WATCH_S):
-            case Listing(items=items):
+            case Listing(items=items, transfer_s=transfer_s):
                 for item in items:
-                    self._take(item)
-            case Changes(events=events):
+                    self._take(item, source="listing", transfer_s=transfer_s)
+            case Changes(events=events, transfer_s=transfer_s):
                 for event in events:
                     if isinstance(event, KeyPut):
-                        self._take(event.kv)
+                        self._take(event.kv, source="watch", transfer_s=transfer_s)
 
-    def _take(self, item: KeyValue) -> None:
+    def _take(self, item: KeyValue, *, source: str, transfer_s: float) -> None:
         if item.key != self.key:
             return
         # Answers of the store may arrive out of order; going back to an older configuration
         # would undo a change that callers have already seen in force.
         if self.routes is not None and item.mod_revision <= self.routes.revision:
             return
+        begun = self.clock.monotonic()
         routes = self.decode(item.value, item.mod_revision)
         if routes is None:
             self.log.emit("configuration.refused", revision=item.mod_revision)
             return
         self.routes = routes
+        VERSION.set(routes.version)
         self.log.emit(
             "configuration.in_force",
             version=routes.version,
             revision=routes.revision,
             queues=len(routes.queues),
+            value_bytes=len(item.value),
+            source=source,
+            transfer_s=round(transfer_s, 3),
+            decode_s=round(self.clock.monotonic() - begun, 3),
         )
--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -24,7 +24,14 @@
 
 
 class NoAnswer(Exception):
-    """The call went out and no whole answer came: it may have had effect, or may yet."""
+    """The call went out and no whole answer came: it may have had effect, or may yet.
+
+    :param received_bytes: how much of the answer's body had come.
+    """
+
+    def __init__(self, message: str, *, received_bytes: int = 0) -> None:
+        super().__init__(message)
+        self.received_bytes = received_bytes
 
 
 @frozen(kw_only=True, slots=True)
@@ -32,16 +39,31 @@
     """An answer that came whole.
 
     :param body: the decoded JSON body; ``None`` when it is empty or no JSON.
+    :param transfer_s: seconds between the arrival of its headers and that of its last byte.
     """
 
     status: int
     body: Any
     headers: Any
+    transfer_s: float = 0.0
 
 
-@define(slots=True)
+@define(kw_only=True, slots=True)
 class _Progress:
+    """How far a call has come.
+
+    :param extend: grants the call its time limit anew when a part of the answer has come.
+    """
+
     connected: bool = False
+    received_bytes: int = 0
+    extend: Callable[[], None] | None = None
+
+    def received(self, part: bytes) -> None:
+        """Note a part of the answer's body."""
+        self.received_bytes += len(part)
+        if self.extend is not None:
+            self.extend()
 
 
 async def _note_connected(
@@ -92,43 +114,55 @@
         if data is not None:
             sent_headers["Content-Type"] = "application/json"
         progress = _Progress()
+        begun = asyncio.get_running_loop().time()
         try:
             async with (
                 asyncio.timeout(longest_s or timeout_s),
                 asyncio.timeout(timeout_s) as idle,
             ):
-                extend = _extender(idle, timeout_s) if longest_s is not None else None
+                if longest_s is not None:
+                    progress.extend = _extender(idle, timeout_s)
                 return await self._connect_and_send(
                     method,
                     url,
-                    extend,
+                    progress,
                     data=data,
                     params=query,
                     headers=sent_headers,
-                    trace_request_ctx=progress,
                 )
         except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError) as exc:
+            took_s = asyncio.get_running_loop().time() - begun
+            failure = f"{method} {url}: {exc!r} after {took_s:.2f} s"
             if progress.connected:
-                raise NoAnswer(f"{method} {url}: {exc!r}") from exc
-            raise NotSent(f"{method} {url}: {exc!r}") from exc
+                received = progress.received_bytes
+                raise NoAnswer(
+                    f"{failure}, {received} bytes of the body read", received_bytes=received
+                ) from exc
+            raise NotSent(failure) from exc
 
     async def _connect_and_send(
-        self, method: str, url: str, extend: Callable[[], None] | None, **options: Any
+        self, method: str, url: str, progress: _Progress, **options: Any
     ) -> Answer:
         while True:
             try:
-                return await self._send(method, url, extend, **options)
+                return await self._send(method, url, progress, **options)
             except aiohttp.ConnectionTimeoutError:
                 # The opening packet was lost, and nothing was sent. The system sends it again only
                 # after a second; another connection is there sooner.
                 continue
 
-    async def _send(
-        self, method: str, url: str, extend: Callable[[], None] | None, **options: Any
-    ) -> Answer:
-        async with self._opened().request(method, url, **options) as resp:
-            payload = await resp.read() if extend is None else await _read_slowly(resp, extend)
-            return Answer(status=resp.status, body=_decoded(payload), headers=resp.headers)
+    async def _send(self, method: str, url: str, progress: _Progress, **options: Any) -> Answer:
+        loop = asyncio.get_running_loop()
+        request = self._opened().request(method, url, trace_request_ctx=progress, **options)
+        async with request as resp:
+            begun = loop.time()
+            payload = await _read_body(resp, progress)
+            return Answer(
+                status=resp.status,
+                body=_decoded(payload),
+                headers=resp.headers,
+                transfer_s=loop.time() - begun,
+            )
 
     def _opened(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -155,12 +189,12 @@
     return lambda: timeout.reschedule(loop.time() + timeout_s)
 
 
-async def _read_slowly(resp: aiohttp.ClientResponse, extend: Callable[[], None]) -> bytes:
-    chunks = []
-    async for chunk in resp.content.iter_any():
-        extend()
-        chunks.append(chunk)
-    return b"".join(chunks)
+async def _read_body(resp: aiohttp.ClientResponse, progress: _Progress) -> bytes:
+    parts = []
+    async for part in resp.content.iter_any():
+        progress.received(part)
+        parts.append(part)
+    return b"".join(parts)
 
 
 def _decoded(payload: bytes) -> Any:
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from prometheus_client import Counter
+from prometheus_client import Counter, Histogram
 
 from rhubarbferry.platform.http import Answer, JsonClient, NoAnswer, NotSent
 from rhubarbferry.ports.store import (
@@ -32,6 +32,12 @@
 FAILED = Counter(
     "rhubarbferry_store_failures_total", "Calls to the store that failed", ["call", "error"]
 )
+TRANSFER_SECONDS = Histogram(
+    "rhubarbferry_store_transfer_seconds",
+    "From the headers of an answer of the store to its last byte",
+    ["call"],
+    buckets=(0.01, 0.05, 0.1, 0.5, 1, 2, 4, 8),
+)
 
 # Twice what a slow store takes, and the way between regions.
 CALL_S = 1.0
@@ -64,16 +70,19 @@
         """Return all keys that start with ``prefix``, page by page."""
         items: list[KeyValue] = []
         revision = 0
+        transfer_s = 0.0
         query = {"prefix": prefix}
         for _ in range(MAX_PAGES):
-            body = _body(await self._read("list", "kv-range", query, longest_s=PAGE_S))
+            answer = await self._read("list", "kv-range", query, longest_s=PAGE_S)
+            transfer_s += answer.transfer_s
+            body = _body(answer)
             page = [_item(item) for item in body.get("items", [])]
             items += page
             # Pages are read one after the other. A watch from the first page's revision on
             # sees every change that a later page may already hold or have missed.
             revision = revision or int(body["at"])
             if not body.get("hasMore") or not page:
-                return Listing(revision=revision, items=tuple(items))
+                return Listing(revision=revision, items=tuple(items), transfer_s=transfer_s)
             query = {"prefix": prefix, "after": page[-1].key}
         raise StoreRefused(f"the list of {prefix} does not end; remove keys that nobody uses")
 
@@ -115,7 +124,9 @@
             raise _refusal(answer)
         body = _body(answer)
         return Changes(
-            revision=int(body["at"]), events=tuple(_event(e) for e in body.get("events", []))
+            revision=int(body["at"]),
+            events=tuple(_event(e) for e in body.get("events", [])),
+            transfer_s=answer.transfer_s,
         )
 
     async def grant_lease(self, ttl_s: float) -> int:
@@ -169,7 +180,7 @@
     ) -> Answer:
         CALLS.labels(kind).inc()
         try:
-            return await self._http.call(
+            answer = await self._http.call(
                 method,
                 f"http://{self.address}/api/{path}",
                 timeout_s=timeout_s,
@@ -181,8 +192,10 @@
             FAILED.labels(kind, "not sent").inc()
             raise StoreUnavailable(f"the store was not reached: {exc}") from exc
         except NoAnswer as exc:
-            FAILED.labels(kind, "no answer").inc()
+            FAILED.labels(kind, "cut off" if exc.received_bytes else "no answer").inc()
             raise StoreUnclear(f"no answer of the store: {exc}") from exc
+        TRANSFER_SECONDS.labels(kind).observe(answer.transfer_s)
+        return answer
 
 
 def _body(answer: Answer, *, write: bool = False) -> Any:
--- a/rhubarbferry/ports/store.py
+++ b/rhubarbferry/ports/store.py
@@ -70,10 +70,12 @@
 
     :param revision: the store's revision at the time of the read.
     :param items: the keys in order.
+    :param transfer_s: seconds that the bodies of its answers took to arrive, where it is known.
     """
 
     revision: int
     items: tuple[KeyValue, ...]
+    transfer_s: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
@@ -151,10 +153,12 @@
     """What happened under a prefix.
 
     :param revision: go on from here.
+    :param transfer_s: seconds that the body of the answer took to arrive, where it is known.
     """
 
     revision: int
     events: tuple[WatchEvent, ...]
+    transfer_s: float = 0.0
 
 
 class TxnStore(Protocol):
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -68,6 +68,21 @@
         server.close()
 
 
+@pytest.mark.parametrize(("parts", "some"), [(0, False), (PARTS, True)])
+async def test_a_failed_call_says_whether_its_answer_had_begun_to_arrive(parts, some):
+    """Guards against a transfer cut off by a time limit that looks like a silent connection."""
+    slowly = partial(answer, head=HEAD, parts=parts)
+    server = await asyncio.start_server(slowly, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = JsonClient()
+    with pytest.raises(NoAnswer) as found:
+        await client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=3.5 * PART_S)
+    await client.close()
+    server.close()
+    assert (found.value.received_bytes > 0) is some
+    assert f"{found.value.received_bytes} bytes of the body read" in str(found.value)
+
+
 @pytest.fixture
 def full_queue():
     """A listening socket whose queue is full, so that opening packets are dropped."""
