--- a/rhubarbferry/test/relay.py
+++ b/rhubarbferry/test/relay.py
@@ -5,8 +5,8 @@
 
 As a process: ``python -m rhubarbferry.test.relay --to ip:port [--to ip:port ...]``. It prints
 ``{"address": control, "links": [{"id": 0, "listen": ..., "to": ...}]}``; the control port takes
-one JSON line per command, ``{"link": 0, "mode": "cut", "scope": "all", "delay_s": 0}``, and
-answers one JSON line each.
+one JSON line per command, ``{"link": 0, "mode": "cut", "scope": "all", "delay_s": 0,
+"bytes_per_s": 0}``, and answers one JSON line each.
 """
 
 from __future__ import annotations
@@ -52,10 +52,15 @@
 
 @frozen(kw_only=True)
 class Rule:
-    """What happens to the bytes of a connection; ``delay_s`` holds each chunk back."""
+    """What happens to the bytes of a connection.
+
+    :param delay_s: holds each chunk back.
+    :param bytes_per_s: bandwidth of the link in each direction, 0 for no limit.
+    """
 
     mode: Mode = Mode.PASS
     delay_s: float = 0.0
+    bytes_per_s: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -66,6 +71,7 @@
     mode: Mode = Mode.PASS
     scope: Scope = Scope.ALL
     delay_s: float = 0.0
+    bytes_per_s: float = 0.0
 
 
 @define(kw_only=True, eq=False)
@@ -96,6 +102,7 @@
         self.address = ""
         self.accepted = 0
         self._rule = Rule()
+        self._busy_until: dict[Mode, float] = {}
         self._pairs: set[_Pair] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -106,13 +113,20 @@
         host, bound = self._server.sockets[0].getsockname()
         self.address = f"{host}:{bound}"
 
-    def set(self, mode: Mode, *, scope: Scope = Scope.ALL, delay_s: float = 0.0) -> None:
+    def set(
+        self,
+        mode: Mode,
+        *,
+        scope: Scope = Scope.ALL,
+        delay_s: float = 0.0,
+        bytes_per_s: float = 0.0,
+    ) -> None:
         """Change what happens to connections.
 
         Bytes that were dropped are lost to the stream, so a connection that lost some is reset
         when it is to pass again: no TCP would deliver the rest without them.
         """
-        rule = Rule(mode=mode, delay_s=delay_s)
+        rule = Rule(mode=mode, delay_s=delay_s, bytes_per_s=bytes_per_s)
         if scope is not Scope.EXISTING:
             self._rule = rule
         if scope is Scope.NEW:
@@ -182,6 +196,8 @@
         while data := await reader.read(CHUNK_BYTES):
             if pair.rule.delay_s:
                 await asyncio.sleep(pair.rule.delay_s)
+            if pair.rule.bytes_per_s:
+                await self._transmit(cut, len(data) / pair.rule.bytes_per_s)
             if writer is None or pair.rule.mode in (cut, Mode.CUT, Mode.SILENT):
                 pair.dropped = True
                 continue
@@ -190,6 +206,13 @@
         if writer is not None and pair.rule.mode is Mode.PASS and writer.can_write_eof():
             writer.write_eof()
 
+    async def _transmit(self, direction: Mode, duration_s: float) -> None:
+        """Wait while a chunk is on the link, behind those of the link's other connections."""
+        now = asyncio.get_running_loop().time()
+        begin = max(now, self._busy_until.get(direction, now))
+        self._busy_until[direction] = begin + duration_s
+        await asyncio.sleep(begin + duration_s - now)
+
 
 class Relay:
     """Several links."""
@@ -227,7 +250,12 @@
             link = self.links[command.link]
         except Exception as exc:
             return {"ok": False, "error": repr(exc)}
-        link.set(command.mode, scope=command.scope, delay_s=command.delay_s)
+        link.set(
+            command.mode,
+            scope=command.scope,
+            delay_s=command.delay_s,
+            bytes_per_s=command.bytes_per_s,
+        )
         return {"ok": True, "connections": link.connections(), "accepted": link.accepted}
 
 
--- /dev/null
+++ b/tests/cell/test_slow_link.py
@@ -0,0 +1,128 @@
+"""A configuration whose transfer takes seconds on the link of a small host."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from attrs import define
+
+from rhubarbferry.cell.configuration import ConfigurationFeed
+from rhubarbferry.platform.configuration import KEY, decode_configuration
+from rhubarbferry.platform.store import PlatformStore
+from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.test.platform_store import PlatformStoreStandIn
+from rhubarbferry.test.relay import Link, Mode, Relay
+from rhubarbferry.test.serving import serving
+
+from .parts import Lines
+from .stage import configuration
+
+# From the write of a configuration until each process has to use it.
+IN_FORCE_S = 4.0
+# A table of 1 MB on the wire, and the time that it takes on the link.
+PADDING = "x" * 750_000
+TRANSFER_S = 2.5
+LINK_BYTES_PER_S = 1_000_000 / TRANSFER_S
+LOOK_S = 0.01
+HISTORY_S = 60.0
+
+
+@define
+class SlowHost:
+    """A process that follows the configuration over a slow link.
+
+    :ivar followed_at: when its watch reached the store.
+    """
+
+    stand_in: PlatformStoreStandIn
+    link: Link
+    feed: ConfigurationFeed
+    lines: Lines
+
+    def write(self, version: int, *, padding: str = PADDING) -> None:
+        self.stand_in.put(KEY, configuration(version) | {"padding": padding})
+
+    async def until(self, condition, limit_s: float) -> float:
+        """Return the seconds until something is true."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(LOOK_S)
+        return loop.time() - begun
+
+    async def until_in_force(self, version: int, limit_s: float = 20.0) -> float:
+        feed = self.feed
+        return await self.until(
+            lambda: feed.routes is not None and feed.routes.version >= version, limit_s
+        )
+
+    async def until_watching(self) -> None:
+        await self.until(lambda: self.stand_in.calls.get("watch", 0) > 0, 20.0)
+
+    def calls(self, call: str) -> int:
+        return self.stand_in.calls.get(call, 0)
+
+
+@asynccontextmanager
+async def slow_host(stand_in: PlatformStoreStandIn):
+    lines = Lines()
+    relay = Relay()
+    async with serving(stand_in.app()) as address:
+        link = await relay.open(address)
+        link.set(Mode.PASS, bytes_per_s=LINK_BYTES_PER_S)
+        store = PlatformStore(address=link.address)
+        feed = ConfigurationFeed(
+            clock=SystemClock(),
+            store=store,
+            log=lines,
+            key=KEY,
+            decode=lambda value, revision: decode_configuration(value, revision=revision),
+            history_s=HISTORY_S,
+        )
+        task = asyncio.create_task(feed.run())
+        try:
+            yield SlowHost(stand_in=stand_in, link=link, feed=feed, lines=lines)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await store.close()
+            await relay.close()
+
+
+async def test_the_first_configuration_may_take_longer_than_other_answers(stand_in):
+    """Guards against a listing that is cut off by a time limit and read again without end."""
+    stand_in.put(KEY, configuration(1) | {"padding": PADDING})
+    async with slow_host(stand_in) as host:
+        await host.until_in_force(1, 2 * TRANSFER_S)
+        assert host.calls("range") == 1
+
+
+@pytest.mark.parametrize("waited_s", [0.2, 1.0, 2.0])
+async def test_a_transfer_that_has_begun_is_not_cut_off_as_its_watch_ends(stand_in, waited_s):
+    """Guards against a confirmed configuration that is read twice and comes into force late."""
+    async with slow_host(stand_in) as host:
+        host.write(1, padding="")
+        await host.until_in_force(1)
+        watches = host.calls("watch")
+        await host.until(lambda: host.calls("watch") > watches, 20.0)
+        await asyncio.sleep(waited_s)
+        host.write(2)
+        assert await host.until_in_force(2) < IN_FORCE_S
+        assert host.calls("range") == 1
+        assert "configuration.not_read" not in [event for event, _ in host.lines.found]
+
+
+async def test_a_line_says_how_a_configuration_was_read(stand_in):
+    async with slow_host(stand_in) as host:
+        host.write(1, padding="")
+        await host.until_in_force(1)
+        await host.until_watching()
+        host.write(2)
+        await host.until_in_force(2)
+    found = [fields for event, fields in host.lines.found if event == "configuration.in_force"]
+    assert [fields["version"] for fields in found] == [1, 2]
+    assert found[1]["value_bytes"] > len(PADDING)
+    assert 0.8 * TRANSFER_S < found[1]["transfer_s"] < 1.5 * TRANSFER_S
--- a/tests/test/test_relay.py
+++ b/tests/test/test_relay.py
@@ -109,3 +109,18 @@
         assert await said(await connect(link)) == ("nothing" if ok else "word")
         writer.close()
         server.close()
+
+
+async def test_connections_of_a_link_share_its_bandwidth():
+    """Guards against a slow link that turns fast as soon as it is used by two."""
+    async with echo_behind_relay() as (_, link, _got):
+        link.set(Mode.PASS, bytes_per_s=100.0)
+        conns = [await connect(link) for _ in range(2)]
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        for _, writer in conns:
+            writer.write(b"x" * 20)
+        for reader, _ in conns:
+            assert await reader.readexactly(20) == b"x" * 20
+        # Both requests, then the second answer after the first.
+        assert loop.time() - begun >= 0.55
