Let a watch's answer arrive whole, however late in the watch it begins

Callers saw an older configuration in use more than 4 s after a newer one was confirmed, at hosts with small links.

Cause: a call had one time limit from its sending to its last byte. A watch spends most of it waiting; a table that began to arrive near its end was cut off and read again from the first byte.

Change: a read of the store has a limit until the headers of its answer, and another for the body: 1.0 s without a byte, 8.0 s in all. It applies to all three reads, since each may be large. Writes and orders keep one limit: their answers are short, and how long they are unclear matters.

The rows of the client's test are kept and two added: headers that come late, and too late.

--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -48,22 +47,46 @@
     transfer_s: float = 0.0
 
 
+@frozen(kw_only=True, slots=True)
+class TransferLimit:
+    """How long the body of an answer may take, once its headers have come.
+
+    :param idle_s: longest time without any of it.
+    :param total_s: longest time for all of it.
+    """
+
+    idle_s: float
+    total_s: float
+
+
 @define(kw_only=True, slots=True)
 class _Progress:
     """How far a call has come.
 
-    :param extend: grants the call its time limit anew when a part of the answer has come.
+    :param timeout: ends the call.
+    :param transfer: what applies in its place to the body of the answer.
     """
 
+    timeout: asyncio.Timeout
+    transfer: TransferLimit | None
     connected: bool = False
     received_bytes: int = 0
-    extend: Callable[[], None] | None = None
+    _ends_at: float = float("inf")
 
-    def received(self, part: bytes) -> None:
+    def begin_transfer(self, now: float) -> None:
+        """Note that the headers of the answer have come."""
+        if self.transfer is not None:
+            self._ends_at = now + self.transfer.total_s
+            self._extend(now, self.transfer)
+
+    def received(self, part: bytes, now: float) -> None:
         """Note a part of the answer's body."""
         self.received_bytes += len(part)
-        if self.extend is not None:
-            self.extend()
+        if self.transfer is not None:
+            self._extend(now, self.transfer)
+
+    def _extend(self, now: float, transfer: TransferLimit) -> None:
+        self.timeout.reschedule(min(now + transfer.idle_s, self._ends_at))
 
 
 async def _note_connected(
@@ -92,8 +115,8 @@
         url: str,
         *,
         timeout_s: float,
+        transfer: TransferLimit | None = None,
         body: Any = None,
-        longest_s: float | None = None,
         query: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
     ) -> Answer:
@@ -102,9 +125,9 @@
         A connection may go silent for good without a reset. The time limit ends such a call,
         and its connection is dropped with it, so the next call opens a new one.
 
-        :param timeout_s: for the whole call; with ``longest_s`` for the first byte of the answer
-            and between two reads of it, so that a large answer may take its time on a slow link.
-        :param longest_s: for the whole call, where it may go on as long as it makes progress.
+        :param timeout_s: for the whole call; with ``transfer`` until the headers of the answer.
+        :param transfer: for the body of the answer, so that a large one may take its time on a
+            slow link while it makes progress.
 
         :raises NotSent: when no connection could be made in time.
         :raises NoAnswer: when anything went wrong after that.
@@ -113,22 +136,13 @@
         sent_headers = dict(headers or {})
         if data is not None:
             sent_headers["Content-Type"] = "application/json"
-        progress = _Progress()
+        timeout = asyncio.timeout(timeout_s)
+        progress = _Progress(timeout=timeout, transfer=transfer)
         begun = asyncio.get_running_loop().time()
         try:
-            async with (
-                asyncio.timeout(longest_s or timeout_s),
-                asyncio.timeout(timeout_s) as idle,
-            ):
-                if longest_s is not None:
-                    progress.extend = _extender(idle, timeout_s)
+            async with timeout:
                 return await self._connect_and_send(
-                    method,
-                    url,
-                    progress,
-                    data=data,
-                    params=query,
-                    headers=sent_headers,
+                    method, url, progress, data=data, params=query, headers=sent_headers
                 )
         except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError) as exc:
             took_s = asyncio.get_running_loop().time() - begun
@@ -156,6 +170,7 @@
         request = self._opened().request(method, url, trace_request_ctx=progress, **options)
         async with request as resp:
             begun = loop.time()
+            progress.begin_transfer(begun)
             payload = await _read_body(resp, progress)
             return Answer(
                 status=resp.status,
@@ -183,16 +198,11 @@
             await self._session.close()
 
 
-def _extender(timeout: asyncio.Timeout, timeout_s: float) -> Callable[[], None]:
-    """Return what grants a call its time limit anew."""
-    loop = asyncio.get_running_loop()
-    return lambda: timeout.reschedule(loop.time() + timeout_s)
-
-
 async def _read_body(resp: aiohttp.ClientResponse, progress: _Progress) -> bytes:
+    loop = asyncio.get_running_loop()
     parts = []
     async for part in resp.content.iter_any():
-        progress.received(part)
+        progress.received(part, loop.time())
         parts.append(part)
     return b"".join(parts)
 
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -8,7 +8,7 @@
 
 from prometheus_client import Counter, Histogram
 
-from rhubarbferry.platform.http import Answer, JsonClient, NoAnswer, NotSent
+from rhubarbferry.platform.http import Answer, JsonClient, NoAnswer, NotSent, TransferLimit
 from rhubarbferry.ports.store import (
     Changes,
     Committed,
@@ -41,8 +41,10 @@
 
 # Twice what a slow store takes, and the way between regions.
 CALL_S = 1.0
-# A page of a listing may be 1 MB, and a slow link carries other traffic beside it.
-PAGE_S = 8.0
+# What is read may be 1 MB long, and a slow link carries other traffic beside it. A time limit for
+# the whole answer would end in the middle of such a transfer, and reading it again would end there
+# as well.
+READING = TransferLimit(idle_s=1.0, total_s=8.0)
 # Beyond the time that a watch waits by itself.
 WATCH_SLACK_S = 0.6
 # Pages hold at most about 500 items; a listing of more pages than this is no listing of ours.
@@ -73,7 +75,7 @@
         transfer_s = 0.0
         query = {"prefix": prefix}
         for _ in range(MAX_PAGES):
-            answer = await self._read("list", "kv-range", query, longest_s=PAGE_S)
+            answer = await self._read("list", "kv-range", query)
             transfer_s += answer.transfer_s
             body = _body(answer)
             page = [_item(item) for item in body.get("items", [])]
@@ -116,7 +118,12 @@
         """Return what happened after a revision."""
         query = {"prefix": prefix, "after": str(after), "waitMs": str(int(wait_s * 1000))}
         answer = await self._call(
-            "watch", "GET", "kv-watch", query=query, timeout_s=wait_s + WATCH_SLACK_S
+            "watch",
+            "GET",
+            "kv-watch",
+            query=query,
+            timeout_s=wait_s + WATCH_SLACK_S,
+            transfer=READING,
         )
         if answer.status == 410:
             raise WatchBroken("that history is gone; list the prefix again")
@@ -155,11 +162,9 @@
         """Give up connections."""
         await self._http.close()
 
-    async def _read(
-        self, kind: str, path: str, query: Mapping[str, str], *, longest_s: float | None = None
-    ) -> Answer:
+    async def _read(self, kind: str, path: str, query: Mapping[str, str]) -> Answer:
         try:
-            answer = await self._call(kind, "GET", path, query=dict(query), longest_s=longest_s)
+            answer = await self._call(kind, "GET", path, query=dict(query), transfer=READING)
         except StoreUnclear as exc:
             # A read changes nothing, so it is never unclear.
             raise StoreUnavailable(str(exc)) from exc
@@ -176,7 +181,7 @@
         body: Any = None,
         query: dict[str, str] | None = None,
         timeout_s: float = CALL_S,
-        longest_s: float | None = None,
+        transfer: TransferLimit | None = None,
     ) -> Answer:
         CALLS.labels(kind).inc()
         try:
@@ -184,7 +189,7 @@
                 method,
                 f"http://{self.address}/api/{path}",
                 timeout_s=timeout_s,
-                longest_s=longest_s,
+                transfer=transfer,
                 body=body,
                 query=query,
             )
--- a/tests/cell/test_slow_link.py
+++ b/tests/cell/test_slow_link.py
@@ -49,7 +49,7 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         async with asyncio.timeout(limit_s):
-            while not condition():
+            while not condition():  # noqa: ASYNC110 - any condition, also of other tasks
                 await asyncio.sleep(LOOK_S)
         return loop.time() - begun
 
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rhubarbferry.platform.http import JsonClient, NoAnswer, NotSent
+from rhubarbferry.platform.http import JsonClient, NoAnswer, NotSent, TransferLimit
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}"
 # The system sends a lost opening packet anew after this time.
@@ -29,9 +29,11 @@
     *,
     head: bytes = ANSWER,
     parts: int = 0,
+    delay_s: float = 0.0,
 ) -> None:
     try:
         await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(delay_s)
         writer.write(head)
         for _ in range(parts):
             await asyncio.sleep(PART_S)
@@ -45,18 +47,25 @@
 
 
 @pytest.mark.parametrize(
-    ("timeout_s", "longest_s", "whole"),
-    [(0.4, 3.0, True), (0.4, None, False), (0.4, 0.5, False), (0.05, 3.0, False)],
+    ("delay_s", "timeout_s", "transfer", "whole"),
+    [
+        (0.0, 0.4, TransferLimit(idle_s=0.4, total_s=3.0), True),
+        (0.3, 0.4, TransferLimit(idle_s=0.4, total_s=3.0), True),
+        (0.5, 0.4, TransferLimit(idle_s=0.4, total_s=3.0), False),
+        (0.0, 0.4, None, False),
+        (0.0, 0.4, TransferLimit(idle_s=0.4, total_s=0.5), False),
+        (0.0, 0.4, TransferLimit(idle_s=0.05, total_s=3.0), False),
+    ],
 )
 async def test_a_large_answer_may_take_its_time_while_it_makes_progress(
-    timeout_s, longest_s, whole
+    delay_s, timeout_s, transfer, whole
 ):
-    """Guards against a listing that is cut off and read again without end on a slow link."""
-    slowly = partial(answer, head=HEAD, parts=PARTS)
+    """Guards against an answer that is cut off and read again without end on a slow link."""
+    slowly = partial(answer, head=HEAD, parts=PARTS, delay_s=delay_s)
     server = await asyncio.start_server(slowly, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     client = JsonClient()
-    call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=timeout_s, longest_s=longest_s)
+    call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=timeout_s, transfer=transfer)
     try:
         if whole:
             assert (await call).status == 200
