Compare the configuration with the known one in place of reading it again

A process listed the configuration each 15 s and after each failure, 1.7 s of a 5 Mbit/s link each time, and a watch shows each version that came while the one before was read, so versions that come faster than they are read put it behind for good.

Change: the configuration is one key, so it is followed by a transaction with the known version as its only condition. It answers in a few bytes while nothing has changed, and with the newest value alone otherwise. It takes the place of the listing before the history ends and after a failure, and of the watch after a transfer of 0.5 s or more. A store that refuses it is asked for a listing. A failed call that took longer than the pause between two tries is followed by the next one at once.

Ruled out: trusting the revision of an empty watch answer (a deaf watch names one after the changes that it missed), and a limit on the size of watch answers (a cut-off transfer is what went wrong before).

--- a/rhubarbferry/cell/configuration.py
+++ b/rhubarbferry/cell/configuration.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from attrs import define, field
 from prometheus_client import Gauge
 
-from rhubarbferry.cell.following import PrefixFollower
+from rhubarbferry.cell.key_following import KeyFollower, Version
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.ports.clock import Clock
-from rhubarbferry.ports.store import Changes, KeyPut, KeyValue, Listing, StoreError, TxnStore
+from rhubarbferry.ports.store import StoreError, TxnStore
 
 VERSION = Gauge(
     "rhubarbferry_configuration_version", "The operators' version of the configuration in force"
@@ -42,41 +41,35 @@
     decode: Decode
     history_s: float
     routes: RouteTable | None = None
-    _follower: PrefixFollower = field(init=False)
+    _follower: KeyFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._follower = PrefixFollower(
+        self._follower = KeyFollower(
             clock=self.clock,
             store=self.store,
             log=self.log,
-            prefix=self.key,
+            key=self.key,
             history_s=self.history_s,
         )
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            begun = self.clock.monotonic()
             try:
-                await self._follow()
+                version = await self._follower.next(WATCH_S)
             except StoreError as exc:
                 self.log.emit("configuration.not_read", reason=str(exc)[:300])
                 # The watch may have gone silent long before, so what it has missed is read first.
-                self._follower.restart()
-                await asyncio.sleep(RETRY_S)
+                self._follower.compare_next()
+                # A call that has ended by its time limit has paused for long enough.
+                await self.clock.sleep(max(0.0, begun + RETRY_S - self.clock.monotonic()))
+            else:
+                if version is not None:
+                    self._take(version)
 
-    async def _follow(self) -> None:
-        match await self._follower.next(WATCH_S):
-            case Listing(items=items, transfer_s=transfer_s):
-                for item in items:
-                    self._take(item, source="listing", transfer_s=transfer_s)
-            case Changes(events=events, transfer_s=transfer_s):
-                for event in events:
-                    if isinstance(event, KeyPut):
-                        self._take(event.kv, source="watch", transfer_s=transfer_s)
-
-    def _take(self, item: KeyValue, *, source: str, transfer_s: float) -> None:
-        if item.key != self.key:
-            return
+    def _take(self, version: Version) -> None:
+        item = version.item
         # Answers of the store may arrive out of order; going back to an older configuration
         # would undo a change that callers have already seen in force.
         if self.routes is not None and item.mod_revision <= self.routes.revision:
@@ -94,7 +87,7 @@
             revision=routes.revision,
             queues=len(routes.queues),
             value_bytes=len(item.value),
-            source=source,
-            transfer_s=round(transfer_s, 3),
+            source=version.source,
+            transfer_s=round(version.transfer_s, 3),
             decode_s=round(self.clock.monotonic() - begun, 3),
         )
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -102,14 +102,16 @@
             ],
             "remove": list(txn.delete),
         }
-        answer = await self._call("commit", "POST", "kv-txn", body=body)
+        answer = await self._call("commit", "POST", "kv-txn", body=body, transfer=READING)
         match answer.status:
             case 200:
                 return Committed(revision=int(_body(answer, write=True)["revision"]))
             case 412:
                 found = [item for item in _body(answer).get("items", []) if _exists(item)]
                 items = [_item(item) for item in found]
-                return Conflict(items={item.key: item for item in items})
+                return Conflict(
+                    items={item.key: item for item in items}, transfer_s=answer.transfer_s
+                )
             case 404:
                 raise LeaseLost("the lease has ended; grant a new one")
         raise _refusal(answer)
--- a/rhubarbferry/ports/store.py
+++ b/rhubarbferry/ports/store.py
@@ -143,9 +143,11 @@
     """A condition did not hold, so nothing was changed.
 
     :param items: the keys of the conditions as they are now; those that don't exist are absent.
+    :param transfer_s: seconds that the body of the answer took to arrive, where it is known.
     """
 
     items: Mapping[str, KeyValue]
+    transfer_s: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -35,6 +35,7 @@
     :param answer_s: seconds that each answer takes.
     :param no_history: watches are told that their history is gone.
     :param deaf: watches hear of no change, and are answered with the present revision.
+    :param no_bare_conditions: transactions that change nothing are refused with 400.
     """
 
     down: bool = False
@@ -44,6 +45,7 @@
     answer_s: float = 0.002
     no_history: bool = False
     deaf: bool = False
+    no_bare_conditions: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -160,6 +162,8 @@
         remove = body.get("remove", [])
         if len(expect) + len(write) + len(remove) > MAX_ENTRIES:
             return JSONResponse({"error": "too many entries"}, status_code=400)
+        if self.trouble.no_bare_conditions and not write and not remove:
+            return JSONResponse({"error": "nothing to change"}, status_code=400)
         if any(put["key"].startswith(("op/", "servers/")) for put in write):
             return Response(status_code=403)
         compares = [
--- a/tests/cell/test_slow_link.py
+++ b/tests/cell/test_slow_link.py
@@ -13,7 +13,7 @@
 from rhubarbferry.platform.store import PlatformStore
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.test.platform_store import PlatformStoreStandIn
-from rhubarbferry.test.relay import Link, Mode, Relay
+from rhubarbferry.test.relay import Link, Mode, Relay, Scope
 from rhubarbferry.test.serving import serving
 
 from .parts import Lines
@@ -115,6 +115,32 @@
         assert "configuration.not_read" not in [event for event, _ in host.lines.found]
 
 
+async def test_versions_that_come_faster_than_they_are_read_are_skipped(stand_in):
+    """Guards against a process that reads each version of a storm, and falls behind for good."""
+    async with slow_host(stand_in) as host:
+        host.write(1, padding="")
+        await host.until_in_force(1)
+        await host.until_watching()
+        for version in range(2, 7):
+            host.write(version)
+            await asyncio.sleep(0.4)
+        # The one that is being read when the last is written, then the last.
+        assert await host.until_in_force(6) < 2 * TRANSFER_S
+        assert host.calls("range") == 1
+
+
+async def test_a_change_behind_a_silent_connection_is_in_force_in_time(stand_in):
+    """Guards against a watch whose connection died unnoticed for longer than a change may take."""
+    async with slow_host(stand_in) as host:
+        host.write(1, padding="")
+        await host.until_in_force(1)
+        await host.until_watching()
+        host.link.set(Mode.SILENT, scope=Scope.EXISTING)
+        host.write(2, padding="")
+        assert await host.until_in_force(2) < IN_FORCE_S
+        assert host.calls("range") == 1
+
+
 async def test_a_line_says_how_a_configuration_was_read(stand_in):
     async with slow_host(stand_in) as host:
         host.write(1, padding="")
