Fetch the tickets of a gang together, so that all are good at one moment

Ruled out: room (it was reserved on all hosts) and refusals (each question was approved in full).

Change: as soon as one reservation of a gang needs a ticket, one question names all of its hosts. The code as found had the same rule: the test, with answers after 1.2 and 1.9 s, sees no start within 60 s there, and a start after one more question with the change; with answers after 0.5 s both start.

--- a/rhubarbferry/dispatch/questions.py
+++ b/rhubarbferry/dispatch/questions.py
@@ -36,7 +36,7 @@
     cost = step.job.queue.advice
     if cost is None or approvals.asking or now < approvals.failed_at + QUESTION_PAUSE_S:
         return None
-    wanted = reservations.hosts_without_ticket(step, hosts, now)
+    wanted = reservations.hosts_to_ask(step, hosts, now)
     if not wanted:
         wanted = _held_without_ticket(step, hosts, held, now)
     if not wanted and step.waiting():
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -38,9 +38,18 @@
     return [(run, found) for run, found in with_tickets if found is not None]
 
 
-def hosts_without_ticket(step: Step, hosts: Mapping[str, Host], now: float) -> list[str]:
-    """Return the hosts on which a step has reservations that need a ticket."""
-    return sorted({run.host for run in reserved(step) if ticket(run, hosts, now) is None})
+def hosts_to_ask(step: Step, hosts: Mapping[str, Host], now: float) -> list[str]:
+    """Return the hosts on which a step has reservations that need a ticket.
+
+    The members of a gang start together, so all their tickets must be good at one moment. Fetched
+    one by one as they lapse, they may never be where an answer takes about as long as a ticket
+    lasts. So as soon as one is missing, all are fetched with one question.
+    """
+    runs = reserved(step)
+    missing = [run for run in runs if ticket(run, hosts, now) is None]
+    if missing and step.req.gang:
+        missing = runs
+    return sorted({run.host for run in missing})
 
 
 def overdue(step: Step, hosts: Mapping[str, Host], now: float) -> list[Run]:
