Refuse a configuration with unreadable limits, and go on with the last one

Found by reading the decoder while looking for other causes of a late configuration: limits of another type raised past the error for bad values, so the task that follows the configuration ended, and with it the process; each process of the cell would have done the same, again after each restart. Such a value is refused like others now; limits that are missing or null mean the default. Three of the rows failed before with AttributeError, ValueError and TypeError, and the one with null limits.

--- a/rhubarbferry/platform/configuration.py
+++ b/rhubarbferry/platform/configuration.py
@@ -26,15 +26,16 @@
         body = json.loads(value)
         version = int(body["version"])
         entries = list(body["routes"])
-        limits = body.get("limits", {})
-    except (ValueError, TypeError, KeyError) as exc:
+        limits = body.get("limits") or {}
+        body_bytes = int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise ConfigurationError(f"no configuration: {exc!r}") from exc
     routes = [route for entry in entries if (route := _route_or_none(entry)) is not None]
     return RouteTable(
         version=version,
         revision=revision,
         routes=routes,
-        limits=Limits(body_bytes=int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))),
+        limits=Limits(body_bytes=body_bytes),
     )
 
 
--- a/tests/on_platform/test_forms.py
+++ b/tests/on_platform/test_forms.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from rhubarbferry.cell.routes import Limits
 from rhubarbferry.dispatch.messages import HostPhase, Sizes, StepId, TaskId
 from rhubarbferry.platform.configuration import ConfigurationError, decode_configuration
 from rhubarbferry.platform.directory import PlatformDirectory, decode_entry
@@ -195,6 +196,12 @@
     assert queue.advice.duration_s(10) == pytest.approx(0.742)
 
 
+@pytest.mark.parametrize("limits", [None, {}])
+def test_a_configuration_without_limits_has_the_default_ones(limits):
+    table = decode_configuration(configuration(ROUTE, limits=limits), revision=4)
+    assert table.limits == Limits()
+
+
 MATCHES = [
     ("nony24.example", "/q/a", "r-1"),
     ("nony24.example", "/q/long/a", "r-2"),
@@ -215,8 +222,20 @@
     assert list(table.queues) == ["r-1"]
 
 
-@pytest.mark.parametrize("value", [b"", b"[]", b'{"version":"x","routes":[]}', b'{"version":1}'])
+NO_CONFIGURATIONS = [
+    b"",
+    b"[]",
+    b'{"version":"x","routes":[]}',
+    b'{"version":1}',
+    b'{"version":1,"routes":[],"limits":["x"]}',
+    b'{"version":1,"routes":[],"limits":{"maxBodyBytes":"x"}}',
+    b'{"version":1,"routes":[],"limits":{"maxBodyBytes":null}}',
+]
+
+
+@pytest.mark.parametrize("value", NO_CONFIGURATIONS)
 def test_what_is_no_configuration_is_refused_as_a_whole(value):
+    """Guards against a value of the operator that ends the process that reads it."""
     with pytest.raises(ConfigurationError):
         decode_configuration(value, revision=1)
 
