Let a host's report arrive whole on a slow link

A host with 500 ends to list, 22 KB, would be taken for silent each time where that takes longer, and its ends would never be acknowledged. The test fails before at 30 KB/s; at 8 KB/s the host still counts as silent, as it should. Looked at and left: orders, answers of the policy service and calls between processes are short, and how long a start stays unclear matters; writes of the store likewise.

--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -21,13 +21,15 @@
     StopOrder,
     Unanswered,
 )
-from rhubarbferry.platform.http import Answer, JsonClient, NoAnswer, NotSent
+from rhubarbferry.platform.http import Answer, JsonClient, NoAnswer, NotSent, TransferLimit
 from rhubarbferry.platform.names import parse_task, task_name
 from rhubarbferry.ports.workers import FenceStale, HoldRequest, WorkerGone, WorkerSilent
 
 # A round trip between regions, one packet sent again, and time for a busy host. What takes longer
 # is treated as unanswered.
 ORDER_S = 0.4
+# A report lists up to 500 ends, which take a slow link longer than an order's answer may.
+REPORTING = TransferLimit(idle_s=0.3, total_s=1.5)
 EXPECT_HEADER = "Rhubarbferry-Expect-Instance"
 
 ENDS = {
@@ -66,7 +68,9 @@
         if req.deadline_s is not None:
             body["deadlineMs"] = int(req.deadline_s * 1000)
         timeout_s = req.wait_s + req.patience_s
-        answer = await self._call(self._looks, host, "hold", body, timeout_s=timeout_s)
+        answer = await self._call(
+            self._looks, host, "hold", body, timeout_s=timeout_s, transfer=REPORTING
+        )
         if answer.status != 200 or not isinstance(answer.body, dict):
             raise _error(answer)
         return _report(answer.body, host)
@@ -121,20 +125,35 @@
         await self._looks.close()
 
     async def _call(
-        self, http: JsonClient, host: HostEntry, path: str, body: Any, *, timeout_s: float
+        self,
+        http: JsonClient,
+        host: HostEntry,
+        path: str,
+        body: Any,
+        *,
+        timeout_s: float,
+        transfer: TransferLimit | None = None,
     ) -> Answer:
         try:
-            return await self._send(http, host, path, body, timeout_s=timeout_s)
+            return await self._send(http, host, path, body, timeout_s=timeout_s, transfer=transfer)
         except (NotSent, NoAnswer) as exc:
             raise WorkerSilent(str(exc)) from exc
 
     async def _send(
-        self, http: JsonClient, host: HostEntry, path: str, body: Any, *, timeout_s: float
+        self,
+        http: JsonClient,
+        host: HostEntry,
+        path: str,
+        body: Any,
+        *,
+        timeout_s: float,
+        transfer: TransferLimit | None = None,
     ) -> Answer:
         return await http.call(
             "POST",
             f"http://{host.address}/api/{path}",
             timeout_s=timeout_s,
+            transfer=transfer,
             body=body,
             headers={EXPECT_HEADER: host.id},
         )
