Ask for the tickets of a large gang in the order in which they lapse

The change that fetches the tickets of a gang together named its hosts in the order of their names, and a question names at most 100. A gang on more hosts would have had the first hundred renewed again and again, and never the others.

--- a/rhubarbferry/dispatch/approvals.py
+++ b/rhubarbferry/dispatch/approvals.py
@@ -58,10 +58,16 @@
 
     def ticket(self, host: str, incarnation: int, now: float) -> str:
         """Return a ticket that is still good, or an empty string."""
-        ticket = self.tickets.get(host)
-        if ticket is None or ticket.expires_at <= now or ticket.incarnation != incarnation:
+        if self.lapses_at(host, incarnation) <= now:
             return ""
-        return ticket.text
+        return self.tickets[host].text
+
+    def lapses_at(self, host: str, incarnation: int) -> float:
+        """Return until when the ticket for this life of a host is good; in the past if none is."""
+        ticket = self.tickets.get(host)
+        if ticket is None or ticket.incarnation != incarnation:
+            return float("-inf")
+        return ticket.expires_at
 
     def unknown(self, host: str) -> bool:
         """Tell whether nobody has asked about a host."""
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -39,17 +39,23 @@
 
 
 def hosts_to_ask(step: Step, hosts: Mapping[str, Host], now: float) -> list[str]:
-    """Return the hosts on which a step has reservations that need a ticket.
+    """Return the hosts on which a step has reservations that need a ticket, most urgent first.
 
     The members of a gang start together, so all their tickets must be good at one moment. Fetched
     one by one as they lapse, they may never be where an answer takes about as long as a ticket
-    lasts. So as soon as one is missing, all are fetched with one question.
+    lasts. So as soon as one is missing, all are fetched, those that lapse first before the others.
     """
     runs = reserved(step)
     missing = [run for run in runs if ticket(run, hosts, now) is None]
     if missing and step.req.gang:
         missing = runs
-    return sorted({run.host for run in missing})
+    found = [hosts[id] for id in {run.host for run in missing}]
+    found.sort(key=lambda host: (_lapses_at(step, host), host.id))
+    return [host.id for host in found]
+
+
+def _lapses_at(step: Step, host: Host) -> float:
+    return step.approvals.lapses_at(host.id, host.entry.incarnation)
 
 
 def overdue(step: Step, hosts: Mapping[str, Host], now: float) -> list[Run]:
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import pytest
 
 from rhubarbferry.dispatch.messages import (
@@ -12,6 +14,7 @@
     Queue,
     StartOrder,
 )
+from rhubarbferry.dispatch.questions import HOSTS_PER_QUESTION
 
 from .world import World, job, step
 
@@ -38,6 +41,23 @@
         self.questions += 1
         self.asked.append((self.world.now + self.answer_s, order))
 
+    def play(self, until: float, *, to_add: Sequence[str] = ()) -> list[StartOrder]:
+        """Answer questions until something starts; add a host each time that none is open."""
+        left = list(to_add)
+        while self.world.now < until:
+            if left and not self.asked:
+                self.world.add_host(left.pop(0))
+            self.world.deliver_reports()
+            self.answer()
+            orders = self.world.decide(LOOK_S)
+            started = [order for order in orders if isinstance(order, StartOrder)]
+            if started:
+                return started
+            for order in orders:
+                if isinstance(order, AdviceOrder):
+                    self.ask(order)
+        return []
+
     def answer(self) -> None:
         due = [order for at, order in self.asked if at <= self.world.now]
         self.asked = [(at, order) for at, order in self.asked if at > self.world.now]
@@ -61,21 +81,21 @@
     world = World()
     policy = Policy(world, answer_s=answer_s)
     world.add(job("gang", step(len(HOSTS), millicores=8000, gang=True), queue=QUEUE))
-    to_add = list(HOSTS)
-    started: list[StartOrder] = []
     # A question for each host, one for all of them, and the pauses between.
     latest_s = (len(HOSTS) + 1) * (answer_s + 0.5)
-    begun = world.now
-    while not started and world.now < begun + latest_s:
-        if to_add and not policy.asked:
-            world.add_host(to_add.pop(0))
-        world.deliver_reports()
-        policy.answer()
-        for order in world.decide(LOOK_S):
-            match order:
-                case AdviceOrder():
-                    policy.ask(order)
-                case StartOrder():
-                    started.append(order)
+    started = policy.play(world.now + latest_s, to_add=list(HOSTS))
     assert {order.host for order in started} == set(HOSTS)
     assert policy.questions <= len(HOSTS) + 1
+
+
+@pytest.mark.parametrize("answer_s", [0.5, 1.2])
+def test_a_gang_on_more_hosts_than_a_question_may_name_starts(answer_s):
+    """Guards against questions that name hosts with good tickets and leave others out."""
+    hosts = [f"h{number:03}" for number in range(HOSTS_PER_QUESTION + 20)]
+    world = World(*hosts[:-1], millicores=8000)
+    policy = Policy(world, answer_s=answer_s)
+    world.add(job("gang", step(len(hosts), millicores=8000, gang=True), queue=QUEUE))
+    # All tickets lapse while room for one member is missing.
+    assert policy.play(world.now + 2 * VALID_S) == []
+    started = policy.play(world.now + 4 * (answer_s + 0.5), to_add=hosts[-1:])
+    assert {order.host for order in started} == set(hosts)
