--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -41,10 +41,10 @@
 
 # Twice what a slow store takes, and the way between regions.
 CALL_S = 1.0
-# What is read may be 1 MB long, and a slow link carries other traffic beside it. A time limit for
-# the whole answer would end in the middle of such a transfer, and reading it again would end there
-# as well.
-READING = TransferLimit(idle_s=1.0, total_s=8.0)
+# Answers that show values may be 1 MB long, and a slow link carries other traffic beside them. A
+# time limit for the whole answer would end in the middle of such a transfer, and reading it again
+# would end there as well.
+BODY_LIMIT = TransferLimit(idle_s=1.0, total_s=8.0)
 # Beyond the time that a watch waits by itself.
 WATCH_SLACK_S = 0.6
 # Pages hold at most about 500 items; a listing of more pages than this is no listing of ours.
@@ -102,7 +102,8 @@
             ],
             "remove": list(txn.delete),
         }
-        answer = await self._call("commit", "POST", "kv-txn", body=body, transfer=READING)
+        # A failed condition is answered with the values that stand there.
+        answer = await self._call("commit", "POST", "kv-txn", body=body, transfer=BODY_LIMIT)
         match answer.status:
             case 200:
                 return Committed(revision=int(_body(answer, write=True)["revision"]))
@@ -125,7 +126,7 @@
             "kv-watch",
             query=query,
             timeout_s=wait_s + WATCH_SLACK_S,
-            transfer=READING,
+            transfer=BODY_LIMIT,
         )
         if answer.status == 410:
             raise WatchBroken("that history is gone; list the prefix again")
@@ -166,7 +167,7 @@
 
     async def _read(self, kind: str, path: str, query: Mapping[str, str]) -> Answer:
         try:
-            answer = await self._call(kind, "GET", path, query=dict(query), transfer=READING)
+            answer = await self._call(kind, "GET", path, query=dict(query), transfer=BODY_LIMIT)
         except StoreUnclear as exc:
             # A read changes nothing, so it is never unclear.
             raise StoreUnavailable(str(exc)) from exc
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -29,7 +29,7 @@
 # is treated as unanswered.
 ORDER_S = 0.4
 # A report lists up to 500 ends, which take a slow link longer than an order's answer may.
-REPORTING = TransferLimit(idle_s=0.3, total_s=1.5)
+REPORT_LIMIT = TransferLimit(idle_s=0.3, total_s=1.5)
 EXPECT_HEADER = "Rhubarbferry-Expect-Instance"
 
 ENDS = {
@@ -69,7 +69,7 @@
             body["deadlineMs"] = int(req.deadline_s * 1000)
         timeout_s = req.wait_s + req.patience_s
         answer = await self._call(
-            self._looks, host, "hold", body, timeout_s=timeout_s, transfer=REPORTING
+            self._looks, host, "hold", body, timeout_s=timeout_s, transfer=REPORT_LIMIT
         )
         if answer.status != 200 or not isinstance(answer.body, dict):
             raise _error(answer)
