Do not take a known value for a new one where a comparison is refused

Found by a state machine of the follower (writes, lost history, deaf watches, slow transfers and failing calls in any order), which goes in with this. A store that refuses the comparison is asked for a listing; over a slow link the known value then counted as a slow transfer of a new one, so that the comparison came again at once, was refused again, and 1 MB was listed without end while the refusals lasted. A version is new only if its revision is.

Deletions are seen by the next comparison; the watch need not look for them. The new row of test_key_following failed before.

--- a/rhubarbferry/cell/key_following.py
+++ b/rhubarbferry/cell/key_following.py
@@ -13,7 +13,6 @@
     Committed,
     Conflict,
     Expect,
-    KeyDeleted,
     KeyPut,
     KeyValue,
     StoreRefused,
@@ -131,18 +130,15 @@
         changes = await self.store.changes(self.key, after=self._watch_from, wait_s=wait_s)
         version = None
         for event in changes.events:
-            match event:
-                case KeyPut(kv=item) if item.key == self.key:
-                    version = self._changed(item, Source.WATCH, changes.transfer_s)
-                case KeyDeleted(key=key) if key == self.key:
-                    version = self._changed(None, Source.WATCH, changes.transfer_s)
+            if isinstance(event, KeyPut) and event.kv.key == self.key:
+                version = self._changed(event.kv, Source.WATCH, changes.transfer_s)
         if changes.events:
             self._watch_from = max(self._watch_from, changes.revision)
         return version
 
     def _changed(self, item: KeyValue | None, source: Source, transfer_s: float) -> Version | None:
-        if item is None:
-            self._known = 0
+        known = self._known
+        self._known = 0 if item is None else item.mod_revision
+        if item is None or item.mod_revision == known:
             return None
-        self._known = item.mod_revision
         return Version(item=item, source=source, transfer_s=transfer_s)
--- a/tests/cell/test_key_following.py
+++ b/tests/cell/test_key_following.py
@@ -101,6 +101,15 @@
     assert (version.item.value, version.source) == (b"2", Source.LISTING)
 
 
+async def test_a_listing_in_place_of_a_comparison_shows_no_known_value(store, stand_in):
+    """Guards against a known value that is read again without end over a slow link."""
+    stand_in.put(KEY, 1)
+    found = follower(store, history_s=0.0)
+    await found.next(WAIT_S)
+    stand_in.trouble.no_bare_conditions = True
+    assert await found.next(WAIT_S) is None
+
+
 @pytest.mark.parametrize("call", ["listing", "comparison", "watch"])
 async def test_a_failed_call_loses_no_change(store, stand_in, call):
     """Guards against a change that is skipped because the call that showed it failed."""
--- /dev/null
+++ b/tests/cell/test_key_following_machine.py
@@ -0,0 +1,187 @@
+"""A followed key beside writes, lost history, deaf watches and failing calls, in any order."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Coroutine
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from rhubarbferry.cell.key_following import SLOW_TRANSFER_S, KeyFollower, Source, Version
+from rhubarbferry.ports.store import (
+    Changes,
+    Committed,
+    Conflict,
+    Listing,
+    StoreError,
+    StoreRateLimited,
+    StoreRefused,
+    StoreUnavailable,
+    StoreUnclear,
+    Txn,
+    WatchBroken,
+)
+from rhubarbferry.test.fake_clock import FakeClock
+from rhubarbferry.test.memory_store import prefix_end
+from rhubarbferry.test.store_engine import Compacted, Delete, Engine, Put
+
+from .parts import Lines
+
+KEY = "op/config"
+OTHER = "op/config-other"
+HISTORY_S = 20.0
+HISTORY_EVENTS = 4
+FUZZ = os.environ.get("HYPOTHESIS_PROFILE") == "fuzz"
+EXAMPLES = 2000 if FUZZ else 150
+FAILURES = (StoreUnavailable, StoreUnclear, StoreRateLimited, StoreRefused)
+
+
+class FaultyStore:
+    """A store that fails as it is told to; its calls never wait.
+
+    :ivar failures: what the next calls raise, ``None`` for an answer.
+    """
+
+    def __init__(self) -> None:
+        self.engine = Engine(history=HISTORY_EVENTS)
+        self.failures: list[type[StoreError] | None] = []
+        self.deaf = False
+        self.transfer_s = 0.0
+        self.calls: list[str] = []
+
+    def _enter(self, call: str) -> None:
+        self.calls.append(call)
+        failure = self.failures.pop(0) if self.failures else None
+        if failure is not None:
+            raise failure("as the test says")
+
+    async def list(self, prefix: str) -> Listing:
+        self._enter("list")
+        items = tuple(stored.kv for stored in self.engine.read(prefix, prefix_end(prefix)))
+        return Listing(revision=self.engine.revision, items=items, transfer_s=self.transfer_s)
+
+    async def commit(self, txn: Txn) -> Committed | Conflict:
+        self._enter("commit")
+        assert not txn.put and not txn.delete
+        (condition,) = txn.expect
+        stored = self.engine.get(condition.key)
+        if (stored.kv.mod_revision if stored else 0) == condition.revision:
+            return Committed(revision=self.engine.revision)
+        items = {condition.key: stored.kv} if stored else {}
+        return Conflict(items=items, transfer_s=self.transfer_s)
+
+    async def changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
+        self._enter("changes")
+        try:
+            events = self.engine.changes(prefix, prefix_end(prefix), after + 1)
+        except Compacted as exc:
+            raise WatchBroken("history is gone") from exc
+        if self.deaf:
+            events = ()
+        return Changes(
+            revision=self.engine.revision, events=tuple(events), transfer_s=self.transfer_s
+        )
+
+
+def finish(coro: Coroutine[Any, Any, Version | None]) -> Version | None:
+    """Run what never waits."""
+    try:
+        coro.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the follower waited for something")
+
+
+class KeyFollowerMachine(RuleBasedStateMachine):
+    """Versions never go back, and the newest is shown once calls are answered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = FakeClock()
+        self.store = FaultyStore()
+        self.follower = KeyFollower(
+            clock=self.clock, store=self.store, log=Lines(), key=KEY, history_s=HISTORY_S
+        )
+        self.shown: list[Version] = []
+
+    @rule(value=st.binary(max_size=2))
+    def write(self, value: bytes) -> None:
+        self.store.engine.txn([], [Put(key=KEY, value=value)])
+
+    @rule()
+    def write_another_key(self) -> None:
+        self.store.engine.txn([], [Put(key=OTHER, value=b"")])
+
+    @rule()
+    def delete(self) -> None:
+        self.store.engine.txn([], [Delete(key=KEY)])
+
+    @rule(deaf=st.booleans())
+    def set_deaf(self, deaf: bool) -> None:
+        self.store.deaf = deaf
+
+    @rule(slow=st.booleans())
+    def set_slow(self, slow: bool) -> None:
+        self.store.transfer_s = SLOW_TRANSFER_S if slow else 0.0
+
+    @rule(failures=st.lists(st.sampled_from((None, *FAILURES)), max_size=3))
+    def fail_next(self, failures: list[type[StoreError] | None]) -> None:
+        self.store.failures = failures
+
+    @rule(seconds=st.sampled_from((0.5, 3.0, HISTORY_S)))
+    def let_time_pass(self, seconds: float) -> None:
+        self.clock.jump(seconds)
+
+    @rule()
+    def follow(self) -> None:
+        try:
+            self.note(finish(self.follower.next(0.0)))
+        except StoreError:
+            self.follower.compare_next()
+
+    def note(self, version: Version | None) -> None:
+        if version is None:
+            return
+        if self.shown:
+            assert version.item.mod_revision > self.shown[-1].item.mod_revision
+        self.shown.append(version)
+
+    @rule()
+    def recover(self) -> None:
+        """All calls are answered again: the newest is shown within the time of the history."""
+        self.store.failures = []
+        self.store.deaf = False
+        self.clock.jump(HISTORY_S)
+        for _ in range(2):
+            self.note(finish(self.follower.next(0.0)))
+        stored = self.store.engine.get(KEY)
+        if stored is not None:
+            assert self.shown[-1].item == stored.kv
+        self.store.calls.clear()
+        self.note(finish(self.follower.next(0.0)))
+        assert self.store.calls == ["changes"], "a calm store is asked more than it must be"
+
+    @rule()
+    def read_in_a_calm(self) -> None:
+        """A change made while nothing fails is shown by the call that follows."""
+        self.recover()
+        calls = len(self.shown)
+        self.store.engine.txn([], [Put(key=KEY, value=b"calm")])
+        self.note(finish(self.follower.next(0.0)))
+        assert [version.item.value for version in self.shown[calls:]] == [b"calm"]
+
+    @invariant()
+    def lists_only_what_it_must(self) -> None:
+        """Only the first value, or one after a refusal, comes from a listing."""
+        refused = [event for event, _ in self.follower.log.found if event == "key.not_compared"]
+        listed = [version for version in self.shown if version.source is Source.LISTING]
+        assert len(listed) <= 1 + len(refused)
+
+
+TestKeyFollower = KeyFollowerMachine.TestCase
+TestKeyFollower.settings = settings(
+    max_examples=EXAMPLES, stateful_step_count=40, deadline=None, derandomize=not FUZZ
+)
