Let the lease lapse in the store before the test lets the store answer

The holder's count of its lease ends 0.05 s before the store's. The test let the store answer as soon as the holder's count was over; a renewal that came in these 0.05 s found the lease alive and extended it, so all went on under epoch 1, which is right. The lines of the failed run show it: attempts each 0.151 s until 31.047, none at 31.198, where the next was due, and no lost lease before the end.

The assertion stays; the test now brings about what its name says.

--- a/tests/coordination/test_node.py
+++ b/tests/coordination/test_node.py
@@ -122,6 +122,9 @@
         now = cell.clock.monotonic()
         rack.book.given(guard=worker, version=1, asked_at=now, duration_s=BOUND_S)
         assert rack.holds() is answers_enough
+    if lapsed:
+        # The holder's count ends before the store's, and a renewal between the two still succeeds.
+        await until(lambda: cell.clock.monotonic() >= lease.ends)
     cell.clients[0].faults.down = False
     await until(lambda: len([t for t in node.tenures.values() if t.holds()]) == 6)
     assert {tenure.epoch for tenure in node.tenures.values()} == ({2} if lapsed else {1})
