Keep answering while a backlog is loaded, and give new owners longer to answer

Each new owner worked in all inherited jobs (58 to 352) in one turn of its loop, for 0.5 to 1.1 s on 0.12 of a core. It answered no ping meanwhile and did not extend its lease, so the next process took over, and read the same backlog.

The backlog is worked in 16 records at a time. Each change of the owner within 10 s doubles the pings that a silent owner may leave unanswered, three times at most; a process that has ended (its host refuses the connection) is replaced as soon as before.

--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -34,6 +34,10 @@
 # well. With room to spare the watch is asked again at once: it may show a job before its notice.
 GATHER_S = 0.2
 RETRY_S = 0.1
+# So many records are worked in before other tasks of the process get their turn. A long backlog on
+# a small processor would hold up the answers to pings and the renewals of the lease until another
+# process takes the work over, which then reads the same backlog.
+JOBS_PER_TURN = 16
 # An age above this is the mark of a clock that is wrong, or of a record without a time.
 OLDEST_S = 300.0
 
@@ -70,7 +74,7 @@
         stored, found = await asyncio.gather(store.list(keys.STATES), self._follower.next(WATCH_S))
         assert isinstance(found, Listing)
         states = {item.key.removeprefix(keys.STATES): item for item in stored.items}
-        self._take_listing(found, states)
+        await self._take_listing(found, states)
         self.loaded = True
 
     async def run(self) -> None:
@@ -88,7 +92,7 @@
     async def _follow(self) -> None:
         match await self._follower.next(WATCH_S):
             case Listing() as listing:
-                self._take_listing(listing, {})
+                await self._take_listing(listing, {})
             case Changes(events=events) if events:
                 self._take_events(events)
                 if len(self.ctx.dispatcher.waiting):
@@ -123,15 +127,18 @@
         self.ctx.wake.set()
         return True
 
-    def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
+    async def _take_listing(self, listing: Listing, states: dict[str, KeyValue]) -> None:
         control = (item for item in listing.items if item.key.startswith(keys.CONTROL))
         self.ctx.around.view.replace(control, revision=listing.revision)
         ownership = self.ctx.around.view.ownership
         if ownership is None or ownership.fence != self.ctx.tenure.fence:
             self._lost("its key was removed or replaced")
         # Jobs first: a cancellation is of use only once its job is known.
-        for item in sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS)):
+        items = sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS))
+        for number, item in enumerate(items, start=1):
             self._put(item, states)
+            if number % JOBS_PER_TURN == 0:
+                await asyncio.sleep(0)
         self.ctx.wake.set()
 
     def _lost(self, reason: str) -> None:
--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
-from attrs import define
+from attrs import define, field
 
 from rhubarbferry.cell.candidate import TURN_S
 from rhubarbferry.cell.logs import EventLog
@@ -21,6 +22,11 @@
 AGAIN_S = 0.05
 # So many pings in a row without an answer: one may be lost with its connection.
 MISSES = 2
+# Changes of the owner within this time count as recent.
+RECENT_CHANGE_S = 10.0
+# At most so many recent changes each double the pings that a silent owner may leave unanswered.
+# After the third its lease ends first, if it can't extend it either.
+MOST_DOUBLINGS = 3
 # So many processes watch the owner, the first ones in the order of succession.
 WATCHERS = 3
 # How many others are asked, to see that it is not this process that is cut off.
@@ -46,11 +52,14 @@
     view: CellView
     peers: PeerClient
     replace: Callable[[Ownership], Awaitable[bool]]
+    _fence: int = 0
+    _changes: deque[float] = field(factory=lambda: deque(maxlen=MOST_DOUBLINGS))
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
             ownership = self.view.ownership
+            self.note_owner(ownership)
             place = self._place(ownership) if ownership is not None else None
             if ownership is None or place is None:
                 await self.clock.sleep(PING_S)
@@ -63,13 +72,38 @@
         names = [member.name for member in watchers]
         return names.index(self.own.name) if self.own.name in names else None
 
+    def note_owner(self, ownership: Ownership | None) -> None:
+        """Count the changes of the owner."""
+        if ownership is None or ownership.fence == self._fence:
+            return
+        if self._fence:
+            self._changes.append(self.clock.monotonic())
+        self._fence = ownership.fence
+
+    def patience(self) -> int:
+        """Return how many pings in a row a silent owner may leave unanswered.
+
+        An owner that has just begun reads a backlog, and on a busy processor it may be slow to
+        answer. Replaced each time for that, one owner after the other would begin and none would
+        ever get to work.
+        """
+        since = self.clock.monotonic() - RECENT_CHANGE_S
+        return MISSES * 2 ** sum(1 for at in self._changes if at > since)
+
     async def _is_gone(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped to answer; ask it once where it does."""
-        for _ in range(MISSES):
-            if await self._ping(ownership.owner) is Reach.ANSWERED:
-                await self.clock.sleep(PING_S)
-                return False
+        refused = silent = 0
+        while refused < MISSES and silent < self.patience():
+            match await self._ping(ownership.owner):
+                case Reach.ANSWERED:
+                    await self.clock.sleep(PING_S)
+                    return False
+                case Reach.REFUSED:
+                    refused += 1
+            silent += 1
             await self.clock.sleep(AGAIN_S)
+            if self.view.ownership is None or self.view.ownership.fence != ownership.fence:
+                return False
         return await self._another_answers(ownership.owner)
 
     async def _another_answers(self, owner: Member) -> bool:
--- a/tests/cell/test_owner_watch.py
+++ b/tests/cell/test_owner_watch.py
@@ -8,9 +8,17 @@
 from attrs import Factory, define
 
 from rhubarbferry.cell.members import CellView, Ownership
-from rhubarbferry.cell.owner_watch import WATCHERS, OwnerWatch
+from rhubarbferry.cell.owner_watch import (
+    AGAIN_S,
+    MISSES,
+    MOST_DOUBLINGS,
+    RECENT_CHANGE_S,
+    WATCHERS,
+    OwnerWatch,
+)
 from rhubarbferry.cell.peers import Reach
 from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.test.fake_clock import FakeClock
 
 from .parts import Lines, member
 
@@ -114,3 +122,46 @@
     await asyncio.sleep(DECIDED_S)
     running.cancel()
     assert cell.peers.pinged == []
+
+
+async def pings_until_replaced(cell: Cell) -> int:
+    """Return how many pings the owner leaves unanswered before it is replaced."""
+    running = asyncio.create_task(cell.watch.run())
+    async with asyncio.timeout(DECIDED_S * 4):
+        while not cell.replaced:  # noqa: ASYNC110 - set by another task
+            await asyncio.sleep(AGAIN_S)
+    running.cancel()
+    return cell.peers.pinged.count("owner")
+
+
+RECENT_CHANGES = {
+    "none and it is silent": (Reach.SILENT, 0, MISSES),
+    "one and it is silent": (Reach.SILENT, 1, 2 * MISSES),
+    "two and it is silent": (Reach.SILENT, 2, 4 * MISSES),
+    "many and it is silent": (Reach.SILENT, 9, MISSES * 2**MOST_DOUBLINGS),
+    "many and its process has ended": (Reach.REFUSED, 9, MISSES),
+}
+
+
+@pytest.mark.parametrize(
+    ("owner", "changes", "pings"), RECENT_CHANGES.values(), ids=RECENT_CHANGES.keys()
+)
+async def test_an_owner_that_has_just_begun_may_be_silent_for_longer(owner, changes, pings):
+    """Guards against owners on busy processors that replace each other without end."""
+    cell = Cell(peers=Peers(reaches={"owner": Reach.ANSWERED, "other": Reach.ANSWERED}))
+    cell.watch.note_owner(cell.view.ownership)
+    for number in range(changes):
+        cell.owned_by("owner", FENCE + 1 + number)
+        cell.watch.note_owner(cell.view.ownership)
+    cell.peers.reaches["owner"] = owner
+    assert await pings_until_replaced(cell) == pings
+
+
+async def test_changes_of_long_ago_are_forgotten():
+    """Guards against a dead owner that stays for long after a calm time."""
+    cell = Cell(peers=Peers(reaches={"owner": Reach.SILENT, "other": Reach.ANSWERED}))
+    cell.watch.clock = FakeClock()
+    for number in range(MOST_DOUBLINGS + 1):
+        cell.watch.note_owner(Ownership(owner=member("owner"), fence=number + 1, lease_id=1))
+    await cell.watch.clock.advance(RECENT_CHANGE_S + 1.0)
+    assert cell.watch.patience() == MISSES
