Do less at once while the event loop is behind; walk through hosts less often

With the owner kept, its processor was still used up: of 130 calls a second that 0.12 of a core bears, 70 were looks at hosts that had nothing to report, and decisions made up to 200 starts at once, of which half were given up unanswered.

* While the loop is more than 0.05 s behind, at most 64 calls x 0.05 s / lag are under way at once, and the rest of the starts is left to a later decision, in the order of that moment.
* Looks wait up to 1.4 s in place of 0.7 s then, and a host counts as silent after two of them.
* One decision places at most 128 steps before other tasks get their turn, and after it the owner pauses for twice the time that it took.
* Hosts are walked through each 0.05 s in place of each decision, twice; whether a host takes tasks is asked where one is placed.
The desk for questions no longer walks through all members for each question that waits, and an answer no longer collects the incarnations of all hosts.

Tried and dropped: leaving the steps over 64 among those to look at anew (each decision then sorted the whole backlog: 3.5 ms a start at 176 hosts, and steps without room hid the others).

--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -328,7 +328,10 @@
     def _decide(self) -> None:
         if any(pause.at_s <= self.now < pause.at_s + pause.for_s for pause in self.day.pauses):
             return
-        for order in self._dispatcher.decide(now=self.now, wall_s=self.now):
+        orders = self._dispatcher.decide(now=self.now, wall_s=self.now)
+        while self._dispatcher.undecided:
+            orders += self._dispatcher.decide(now=self.now, wall_s=self.now)
+        for order in orders:
             self._carry_out(order)
         for assignment in self._desk.assign(self._members):
             self._ask(assignment.order, assignment.member.name)
--- a/rhubarbferry/cell/advice_desk.py
+++ b/rhubarbferry/cell/advice_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 
 from attrs import Factory, define, field, frozen
@@ -52,28 +53,28 @@
         """Return the questions to ask now."""
         if not self._waiting:
             return []
-        near_first = sorted(members, key=self._distance)
+        found = list(members)
+        free = deque(
+            sorted((m for m in found if m.name not in self._busy), key=self._distance),
+        )
+        # How many more long questions may be asked.
+        long_left = max(1, len(found) // 2) - sum(map(_is_long, self._busy.values()))
         self._waiting.sort(key=lambda entry: entry[:2])
         assigned = []
         left = []
         for entry in self._waiting:
-            member = self._free(near_first, long=_is_long(entry[2]))
-            if member is None:
+            order = entry[2]
+            long = _is_long(order)
+            if not free or (long and long_left <= 0):
                 left.append(entry)
                 continue
-            self._busy[member.name] = entry[2]
-            assigned.append(Assignment(member=member, order=entry[2]))
+            member = free.pop() if long else free.popleft()
+            long_left -= long
+            self._busy[member.name] = order
+            assigned.append(Assignment(member=member, order=order))
         self._waiting = left
         return assigned
 
-    def _free(self, near_first: list[Member], *, long: bool) -> Member | None:
-        if long:
-            most = max(1, len(near_first) // 2)
-            if sum(1 for order in self._busy.values() if _is_long(order)) >= most:
-                return None
-            near_first = near_first[::-1]
-        return next((member for member in near_first if member.name not in self._busy), None)
-
     def _distance(self, member: Member) -> tuple[int, str]:
         if member.name == self.own:
             return (0, member.name)
--- a/rhubarbferry/cell/host_watch.py
+++ b/rhubarbferry/cell/host_watch.py
@@ -7,7 +7,8 @@
 from attrs import define
 
 from rhubarbferry.cell.context import TermContext
-from rhubarbferry.dispatch.hosts import SILENT_S, Host
+from rhubarbferry.cell.loop_lag import LAG_GOAL_S
+from rhubarbferry.dispatch.hosts import LONGEST_LOOK_S, LOOK_S, Host
 from rhubarbferry.ports.workers import (
     FenceStale,
     HoldRequest,
@@ -15,8 +16,6 @@
     WorkerGone,
 )
 
-# How long a look waits for an end. Shorter finds a silent host sooner, longer costs fewer calls.
-LOOK_S = 0.7
 # After a look that failed.
 RETRY_S = 0.1
 # The same for a host that has been silent for longer; it may be gone for good.
@@ -53,9 +52,17 @@
     def _pause_s(self, host: Host) -> float:
         if not host.adopted:
             return FIRST_RETRY_S
-        silent = self.ctx.now() - host.last_report_at >= SILENT_S
+        silent = self.ctx.now() - host.last_report_at >= host.silent_s
         return SILENT_RETRY_S if silent else RETRY_S
 
+    def look_s(self) -> float:
+        """Return how long a look is to wait for an end.
+
+        A process that is behind looks less often: most looks find that nothing has ended, and ends
+        are shown at once in any case.
+        """
+        return min(LONGEST_LOOK_S, LOOK_S * max(1.0, self.ctx.around.lag_s() / LAG_GOAL_S))
+
     async def look_once(self) -> None:
         """Look once, without waiting for an end."""
         host = self.ctx.dispatcher.tracker.hosts.get(self.id)
@@ -69,12 +76,13 @@
         deadline_s = host.hold(sent_at, ctx.around.cfg.bounds.task_lease_s)
         # Ends beyond `forget_to` are listed at once; so there is no use in a wait while some
         # are not on record. The first look only learns the host's clock.
+        host.look_s = self.look_s()
         at_once = at_once or deadline_s is None or host.seen_end > host.recorded_end
         req = HoldRequest(
             fence=ctx.tenure.fence,
             deadline_s=deadline_s,
             forget_to=host.recorded_end,
-            wait_s=0.0 if at_once else LOOK_S,
+            wait_s=0.0 if at_once else host.look_s,
             patience_s=PATIENCE_S if host.adopted else FIRST_PATIENCE_S,
         )
         try:
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -12,6 +13,7 @@
 from rhubarbferry.cell.context import TermContext
 from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.host_watch import HostWatch
+from rhubarbferry.cell.loop_lag import LAG_GOAL_S
 from rhubarbferry.cell.members import Member
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.messages import (
@@ -24,6 +26,12 @@
 )
 from rhubarbferry.ports.workers import FenceStale, WorkerError
 
+# Calls to hosts that may be under way at once where the event loop is ``LAG_GOAL_S`` behind. Where
+# it is further behind they are fewer in proportion: the more there are the longer each takes, until
+# most are given up and sent again before their answers are read.
+CALLS_AT_ONCE = 64
+# Even a process that is far behind starts something.
+FEWEST_CALLS = 8
 # Beyond the expected time of a question: hops, and the wait behind other work.
 ADVICE_SLACK_S = 1.0
 
@@ -39,18 +47,26 @@
     log: DecisionLog
     spawn: Callable[[Coroutine[Any, Any, None]], None]
     _desk: AdviceDesk = field(init=False)
+    _calls: int = 0
 
     def __attrs_post_init__(self) -> None:
         own = self.ctx.around.own
         self._desk = AdviceDesk(own=own.name, region=own.region)
 
+    def room(self) -> float:
+        """Return how many more tasks may be started now, ``inf`` while the process keeps up."""
+        lag_s = self.ctx.around.lag_s()
+        if lag_s <= LAG_GOAL_S:
+            return math.inf
+        return max(FEWEST_CALLS, CALLS_AT_ONCE * LAG_GOAL_S / lag_s) - self._calls
+
     def carry_out(self, order: Order) -> None:
         """Begin to carry out an order."""
         match order:
             case StartOrder():
-                self.spawn(self._start(order))
+                self.spawn(self._counted(self._start(order)))
             case StopOrder():
-                self.spawn(self._stop(order))
+                self.spawn(self._counted(self._stop(order)))
             case PaceOrder():
                 self.spawn(self._pace(order))
             case AdviceOrder():
@@ -62,6 +78,14 @@
         for assignment in self._desk.assign(members):
             self.spawn(self._ask(assignment))
 
+    async def _counted(self, call: Coroutine[Any, Any, None]) -> None:
+        self._calls += 1
+        try:
+            await call
+        finally:
+            self._calls -= 1
+            self.ctx.wake.set()
+
     async def _start(self, order: StartOrder) -> None:
         host = self.ctx.dispatcher.tracker.hosts[order.host]
         if not self.ctx.tenure.holds():
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -31,8 +31,11 @@
 
 # At most this long between two decisions, for what depends on time alone.
 TICK_S = 0.1
-# After a decision, events within this time share the next one. Each decision looks at all hosts.
+# After a decision, events within this time share the next one.
 GATHER_S = 0.004
+# At least so many times as long as the decision took, so that the answers of hosts and the calls of
+# other processes get their share of a small processor.
+GATHER_FACTOR = 2.0
 # Between two reads of the host list. A draining host must get no task soon after it says so.
 DIRECTORY_S = 0.5
 # Waiting steps are looked at anew this often, should a change have been missed.
@@ -310,8 +313,14 @@
                 pass
             self.ctx.wake.clear()
             self.tenure.check()
+            begun = self.ctx.now()
             self._decide()
-            await asyncio.sleep(GATHER_S)
+            if self.ctx.dispatcher.undecided:
+                # Other tasks get their turn, and no more: the rest is part of the same decision.
+                await asyncio.sleep(0)
+            else:
+                took_s = self.ctx.now() - begun
+                await asyncio.sleep(max(GATHER_S, GATHER_FACTOR * took_s))
 
     def _decide(self) -> None:
         dispatcher = self.ctx.dispatcher
@@ -323,13 +332,17 @@
             self._reviewed_at = now
             dispatcher.retry()
         unconfirmed = list(dispatcher.succession.unconfirmed)
-        orders = dispatcher.decide(now=now, wall_s=self.around.clock.wall())
+        orders = dispatcher.decide(
+            now=now, wall_s=self.around.clock.wall(), starts=self._orders.room()
+        )
         self._note_settled(unconfirmed, now)
         self._log.outcomes(dispatcher)
         for order in orders:
             self._orders.carry_out(order)
         self._orders.ask(self._members())
         self.ctx.note_changes()
+        if dispatcher.undecided:
+            self.ctx.wake.set()
 
     def _note_settled(self, unconfirmed: list[str], now: float) -> None:
         """Log once when all inherited jobs may go on, and which hosts had not answered."""
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, field
@@ -28,6 +30,7 @@
     OrderResult,
     Queue,
     Refusal,
+    StartOrder,
     StepId,
     TaskId,
 )
@@ -46,6 +49,12 @@
 # Tasks fail by their own fault in a few percent of runs, so a host is taken out of use only
 # after failures of this many jobs with no success between.
 HOST_RULES = EjectionRules(distinct_failures=3, window_s=10.0, eject_s=3.0, max_eject_s=12.0)
+# One decision places at most this many steps. The rest is left to the next one, so that the caller
+# gets to answer other processes between the two.
+STEPS_PER_DECISION = 128
+# Between two walks through all hosts for what time alone changes: leases that lapse, and hosts that
+# take tasks again. Hosts that something has happened to are looked at in each decision.
+HOST_REVIEW_S = 0.05
 # Reasons that lie with the host, so that the next task would be refused as well.
 HOST_REFUSALS = (
     Refusal.NO_ROOM,
@@ -77,11 +86,14 @@
     holds: Holds = Factory(Holds)
     pacing: Pacing = Factory(Pacing)
     _touched: dict[Step, None] = Factory(dict)
+    _candidates: deque[Step] = Factory(deque)
     _reserving: dict[Step, None] = Factory(dict)
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
     _timed: dict[str, Job] = Factory(dict)
     _unsettled: dict[str, Job] = Factory(dict)
+    _hosts_reviewed_at: float = float("-inf")
+    _queues: Mapping[str, Queue] | None = None
 
     def __attrs_post_init__(self) -> None:
         self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s)
@@ -120,6 +132,9 @@
 
     def configure(self, queues: Mapping[str, Queue], *, now: float) -> None:
         """Apply a configuration: what is not in it keeps its last form."""
+        if queues is self._queues:
+            return
+        self._queues = queues
         for job in self.jobs.values():
             queue = queues.get(job.queue.name)
             if queue is None or queue == job.queue:
@@ -199,7 +214,8 @@
         step = self._step(advice.step)
         if step is None:
             return
-        incarnations = {id: host.entry.incarnation for id, host in self.tracker.hosts.items()}
+        hosts = self.tracker.hosts
+        incarnations = {id: hosts[id].entry.incarnation for id in advice.asked if id in hosts}
         step.approvals.learn(advice, incarnations)
         self._look_at(step, now)
 
@@ -214,13 +230,15 @@
 
     # ------------------------------------------------------------ decisions
 
-    def decide(self, *, now: float, wall_s: float) -> list[Order]:
-        """Return the orders to carry out now.
+    def decide(self, *, now: float, wall_s: float, starts: float = math.inf) -> list[Order]:
+        """Return the orders to carry out now; more may follow while :attr:`undecided`.
 
         :param wall_s: time of day, for jobs that start by it.
+        :param starts: once so many starts have been ordered, what else waits is left to a later
+            decision. The tasks of the last step may exceed it.
         """
         orders: list[Order] = []
-        self._apply(self.tracker.lapse(now, keep=self.succession.unconfirmed), now)
+        self._review_hosts(now)
         for job in list(self._timed.values()):
             job.make_due(now, wall_s)
             self._open_steps(job, now)
@@ -229,27 +247,64 @@
         if self.holds.expire(now):
             # Any step may take the room that was kept.
             self.retry()
-        self.tracker.note_opened(now)
+        self.tracker.note_opened(now, self.tracker.changed)
         for step in [step for step, at in self._ask_again.items() if now >= at]:
             del self._ask_again[step]
             if not step.job.phase.final and not step.done:
                 self._look_at(step, now)
         self._settle(now)
-        open_hosts = self._open_hosts(now)
-        for step in self._candidates(now):
-            orders += self._place(step, open_hosts, now)
-            if self._ejector.ejected():
-                # A host on probation takes one task at a time.
-                open_hosts = self._open_hosts(now)
+        orders += self._place_candidates(now, starts)
         orders += self.tracker.take_orders()
         orders += self.pacing.take_orders()
         return orders
 
+    def _review_hosts(self, now: float) -> None:
+        if now - self._hosts_reviewed_at < HOST_REVIEW_S:
+            return
+        self._hosts_reviewed_at = now
+        self._apply(self.tracker.lapse(now, keep=self.succession.unconfirmed), now)
+        self.tracker.review_opened(now)
+
+    @property
+    def undecided(self) -> bool:
+        """Whether there are steps that the last decision has left to the next one."""
+        return bool(self._candidates)
+
     def retry(self) -> None:
-        """Look at all waiting steps at the next decision."""
+        """Look at all hosts and waiting steps at the next decision."""
+        self._hosts_reviewed_at = float("-inf")
         self._touched.update(dict.fromkeys(self.waiting.in_order()))
 
-    def _candidates(self, now: float) -> list[Step]:
+    def _place_candidates(self, now: float, starts: float) -> list[Order]:
+        """Place the next candidates in their order.
+
+        What this decision does not get to is left to the next one, which finds new candidates only
+        after that. Otherwise steps that come first in the order and find no room could keep the
+        others from ever being looked at. Where the limit of starts is reached, all are ordered
+        anew: what has come meanwhile may be more urgent.
+        """
+        if not self._candidates:
+            self._candidates.extend(self._find_candidates())
+        orders: list[Order] = []
+        ordered = 0
+        open_hosts = self._open_hosts(now)
+        for _ in range(min(STEPS_PER_DECISION, len(self._candidates))):
+            if ordered >= starts:
+                self._touched.update(dict.fromkeys(self._candidates))
+                self._candidates.clear()
+                break
+            step = self._candidates.popleft()
+            if step not in self.waiting:
+                continue
+            found = self._place(step, open_hosts, now)
+            ordered += sum(isinstance(order, StartOrder) for order in found)
+            orders += found
+            if self._ejector.ejected():
+                # A host on probation takes one task at a time.
+                open_hosts = self._open_hosts(now)
+        return orders
+
+    def _find_candidates(self) -> list[Step]:
         changed = [self.tracker.hosts[id] for id in self.tracker.changed & set(self.tracker.hosts)]
         self.tracker.changed.clear()
         found = {step for step in self._touched if step in self.waiting}
@@ -284,7 +339,7 @@
             allowed = [host for host in open_hosts if host.id in approved] if approved else []
         if step.req.filling:
             allowed = [host for host in allowed if self.pacing.may_fill(host)]
-        placed = self._find_hosts(step, allowed)
+        placed = self._find_hosts(step, allowed, now)
         if placed:
             self.holds.drop(step)
         elif self.waiting.urgency(step) is Urgency.IN_TIME and step.waiting():
@@ -300,15 +355,15 @@
             self.waiting.discard(step)
         return orders
 
-    def _find_hosts(self, step: Step, allowed: list[Host]) -> list[Placed]:
+    def _find_hosts(self, step: Step, allowed: list[Host], now: float) -> list[Placed]:
         if not self.holds or step not in self.waiting:
-            return place(step, allowed)
-        placed = place(step, allowed, self.holds.kept(but=step))
+            return place(step, allowed, now)
+        placed = place(step, allowed, now, self.holds.kept(but=step))
         if len(placed) == len(step.waiting()):
             return placed
         # Steps that go before those with a hold take its room only where there is no other.
         order = self.waiting.order(step)
-        return place(step, allowed, self.holds.kept_from(order, self.waiting.orders))
+        return place(step, allowed, now, self.holds.kept_from(order, self.waiting.orders))
 
     def _make_room(self, step: Step, hosts: list[Host], now: float) -> None:
         total = len(self.tracker.hosts)
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -35,9 +35,12 @@
         return self.clock_s + (now - self.received_at) * (1 - CLOCK_DRIFT)
 
 
-# A host that has not answered for this long gets no new tasks: it may be gone, or cut off. Twice
-# the longest look.
-SILENT_S = 1.5
+# How long a look at a host waits for an end. Shorter finds a silent host sooner, longer costs fewer
+# calls.
+LOOK_S = 0.7
+LONGEST_LOOK_S = 1.4
+# Beyond two looks, the time that their answers take.
+SILENT_MARGIN_S = 0.1
 
 RunKey = tuple[TaskId, int]
 
@@ -59,6 +62,7 @@
     :param blocked_until: it gets no new tasks before this time.
     :param leaves_at: while it is draining, until when it stays at least; it is the earliest time
         given by its entries, as each is up to a heartbeat old when it is read.
+    :param look_s: how long looks at it wait at present.
     :param is_open: whether it takes tasks, as of the last decision.
     """
 
@@ -76,6 +80,7 @@
     last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
+    look_s: float = LOOK_S
     is_open: bool = False
     _room: Sizes = field(factory=Sizes)
     _room_used: Sizes | None = None
@@ -100,6 +105,11 @@
             self._room = capacity.minus(self.used)
         return self._room
 
+    @property
+    def silent_s(self) -> float:
+        """After how long without an answer it gets no new tasks: it may be gone, or cut off."""
+        return 2 * self.look_s + SILENT_MARGIN_S
+
     def takes_tasks(self, now: float) -> bool:
         """Tell whether it may get a task now."""
         return (
@@ -110,7 +120,7 @@
             and not self.unknown_runs
             and self.entry.phase is HostPhase.READY
             and now >= self.blocked_until
-            and now - self.last_report_at < SILENT_S
+            and now - self.last_report_at < self.silent_s
         )
 
     def hold(self, now: float, hold_s: float) -> float | None:
@@ -121,7 +131,7 @@
         may have been carried out. Were a silent host's leases extended with each try, they
         would never count as over, and the tasks of a host that has died would wait for ever.
         """
-        if self.clock is None or now - self.last_report_at >= SILENT_S:
+        if self.clock is None or now - self.last_report_at >= self.silent_s:
             return None
         until = self.clock.estimate(now) + hold_s
         self.held_until_s = max(self.held_until_s, until)
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -50,17 +50,21 @@
 
 
 def place(
-    step: Step, hosts: Iterable[Host], kept: Mapping[str, Sizes] | None = None
+    step: Step, hosts: Iterable[Host], now: float, kept: Mapping[str, Sizes] | None = None
 ) -> list[Placed]:
     """Return hosts for as many waiting tasks as there is room for.
 
     A gang gets hosts for all its tasks or none.
 
-    :param hosts: those that may run the step.
+    :param hosts: those that may run the step. Only those that take tasks now are used.
     :param kept: room of hosts that is kept for others.
     """
     need = step.req.room
-    fitting = [host for host in hosts if need.fits(host.room) and could_run(step, host)]
+    fitting = [
+        host
+        for host in hosts
+        if need.fits(host.room) and could_run(step, host) and host.takes_tasks(now)
+    ]
     if not fitting:
         return []
     open_hosts = [(host, slots_on(step, host, _left(host, kept))) for host in fitting]
--- a/rhubarbferry/dispatch/roster.py
+++ b/rhubarbferry/dispatch/roster.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from rhubarbferry.dispatch.hosts import SILENT_S, Host
+from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import RunPhase
 from rhubarbferry.dispatch.messages import HostEntry, HostPhase
 from rhubarbferry.dispatch.succession import RosterEntry
@@ -66,7 +66,7 @@
 
 def _is_closing(host: Host, now: float) -> bool:
     leaving = not host.listed or host.entry.phase is HostPhase.DRAINING
-    return leaving or now - host.last_report_at >= SILENT_S
+    return leaving or now - host.last_report_at >= host.silent_s
 
 
 def follow_record(roster: Mapping[str, RosterEntry], hosts: Mapping[str, Host]) -> None:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
 from attrs import Factory, define, evolve, frozen
 
@@ -354,7 +354,7 @@
                 del self.hosts[host.id]
         return outcomes
 
-    def note_opened(self, now: float) -> None:
+    def review_opened(self, now: float) -> None:
         """Count hosts that take tasks again as changed, so that what waits is looked at."""
         for host in self.hosts.values():
             opened = host.takes_tasks(now)
@@ -362,6 +362,13 @@
                 self.changed.add(host.id)
             host.is_open = opened
 
+    def note_opened(self, now: float, ids: Iterable[str]) -> None:
+        """Note which of some hosts take tasks now."""
+        for id in ids:
+            host = self.hosts.get(id)
+            if host is not None:
+                host.is_open = host.takes_tasks(now)
+
     # ------------------------------------------------------------ runs
 
     def take_orders(self) -> list[StartOrder | StopOrder]:
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -134,9 +134,9 @@
         self.dispatcher.add_job(item, now=self.now, wall_s=self.now)
         return item
 
-    def decide(self, seconds: float = 0.0) -> list[Order]:
+    def decide(self, seconds: float = 0.0, **limits) -> list[Order]:
         self.now += seconds
-        return self.dispatcher.decide(now=self.now, wall_s=self.now)
+        return self.dispatcher.decide(now=self.now, wall_s=self.now, **limits)
 
     def starts(self, seconds: float = 0.0) -> list[StartOrder]:
         return [order for order in self.decide(seconds) if isinstance(order, StartOrder)]
