Keep the candidates of a decision in a class of their own; test the desk for questions

No change of behaviour: what a decision tries, in which order, and what it leaves over moves from the dispatcher to dispatch/candidates.py; calls under way are counted by a context manager, so that a call whose task is cancelled before it begins leaves no coroutine behind.

--- a/rhubarbferry/cell/advice_desk.py
+++ b/rhubarbferry/cell/advice_desk.py
@@ -54,9 +54,8 @@
         if not self._waiting:
             return []
         found = list(members)
-        free = deque(
-            sorted((m for m in found if m.name not in self._busy), key=self._distance),
-        )
+        near_first = sorted(found, key=self._distance)
+        free = deque(member for member in near_first if member.name not in self._busy)
         # How many more long questions may be asked.
         long_left = max(1, len(found) // 2) - sum(map(_is_long, self._busy.values()))
         self._waiting.sort(key=lambda entry: entry[:2])
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -64,9 +64,9 @@
         """Begin to carry out an order."""
         match order:
             case StartOrder():
-                self.spawn(self._counted(self._start(order)))
+                self.spawn(self._start(order))
             case StopOrder():
-                self.spawn(self._counted(self._stop(order)))
+                self.spawn(self._stop_counted(order))
             case PaceOrder():
                 self.spawn(self._pace(order))
             case AdviceOrder():
@@ -78,26 +78,36 @@
         for assignment in self._desk.assign(members):
             self.spawn(self._ask(assignment))
 
-    async def _counted(self, call: Coroutine[Any, Any, None]) -> None:
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Count a call among those under way, and look for more to start when it has ended."""
         self._calls += 1
         try:
-            await call
+            yield
         finally:
             self._calls -= 1
             self.ctx.wake.set()
 
     async def _start(self, order: StartOrder) -> None:
-        host = self.ctx.dispatcher.tracker.hosts[order.host]
-        if not self.ctx.tenure.holds():
-            return
+        with self._counted():
+            host = self.ctx.dispatcher.tracker.hosts[order.host]
+            if not self.ctx.tenure.holds():
+                return
+            await self._call_start(host, order)
+            if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
+                await self._settle(order)
+
+    async def _call_start(self, host: Host, order: StartOrder) -> None:
         sent_at = self.ctx.now()
         result = await self.ctx.around.workers.start(host.entry, order, fence=self.ctx.tenure.fence)
         now = self.ctx.now()
         self.log.start(order, result, took_s=now - sent_at, fence=self.ctx.tenure.fence)
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
         self.ctx.wake.set()
-        if self.ctx.dispatcher.unclear(order.host, order.task, order.attempt):
-            await self._settle(order)
+
+    async def _stop_counted(self, order: StopOrder) -> None:
+        with self._counted():
+            await self._stop(order)
 
     async def _settle(self, order: StartOrder) -> None:
         """Find out what has become of a start whose tries got no clear answer.
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, field
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
 from rhubarbferry.dispatch import reservations
+from rhubarbferry.dispatch.candidates import Candidates
 from rhubarbferry.dispatch.evacuation import runs_to_leave
 from rhubarbferry.dispatch.holds import Holds
 from rhubarbferry.dispatch.hosts import Host
@@ -85,8 +85,7 @@
     waiting: WaitingSteps = Factory(WaitingSteps)
     holds: Holds = Factory(Holds)
     pacing: Pacing = Factory(Pacing)
-    _touched: dict[Step, None] = Factory(dict)
-    _candidates: deque[Step] = Factory(deque)
+    _candidates: Candidates = field(init=False)
     _reserving: dict[Step, None] = Factory(dict)
     _ask_again: dict[Step, float] = Factory(dict)
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_RULES))
@@ -97,6 +96,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s)
+        self._candidates = Candidates(waiting=self.waiting)
 
     # ------------------------------------------------------------ jobs
 
@@ -273,29 +273,22 @@
     def retry(self) -> None:
         """Look at all hosts and waiting steps at the next decision."""
         self._hosts_reviewed_at = float("-inf")
-        self._touched.update(dict.fromkeys(self.waiting.in_order()))
+        self._candidates.touch_all()
 
     def _place_candidates(self, now: float, starts: float) -> list[Order]:
-        """Place the next candidates in their order.
-
-        What this decision does not get to is left to the next one, which finds new candidates only
-        after that. Otherwise steps that come first in the order and find no room could keep the
-        others from ever being looked at. Where the limit of starts is reached, all are ordered
-        anew: what has come meanwhile may be more urgent.
-        """
+        """Place the next candidates; those that this decision does not get to are left over."""
         if not self._candidates:
-            self._candidates.extend(self._find_candidates())
+            self._candidates.find(self.tracker.take_changed())
         orders: list[Order] = []
         ordered = 0
         open_hosts = self._open_hosts(now)
-        for _ in range(min(STEPS_PER_DECISION, len(self._candidates))):
+        for _ in range(STEPS_PER_DECISION):
             if ordered >= starts:
-                self._touched.update(dict.fromkeys(self._candidates))
-                self._candidates.clear()
+                self._candidates.put_back()
+                break
+            step = self._candidates.pop()
+            if step is None:
                 break
-            step = self._candidates.popleft()
-            if step not in self.waiting:
-                continue
             found = self._place(step, open_hosts, now)
             ordered += sum(isinstance(order, StartOrder) for order in found)
             orders += found
@@ -304,21 +297,6 @@
                 open_hosts = self._open_hosts(now)
         return orders
 
-    def _find_candidates(self) -> list[Step]:
-        changed = [self.tracker.hosts[id] for id in self.tracker.changed & set(self.tracker.hosts)]
-        self.tracker.changed.clear()
-        found = {step for step in self._touched if step in self.waiting}
-        self._touched.clear()
-        if changed:
-            most = max(host.room.millicores for host in changed)
-            for step in self.waiting.in_order(millicores=most):
-                if step not in found and any(self._may_help(step, host) for host in changed):
-                    found.add(step)
-        return sorted(found, key=self.waiting.order)
-
-    def _may_help(self, step: Step, host: Host) -> bool:
-        return host.id not in step.approvals.denied and step.req.room.fits(host.room)
-
     def _open_hosts(self, now: float) -> list[Host]:
         """Return the hosts that may get a task at this decision."""
         hosts = [host for host in self.tracker.hosts.values() if host.is_open]
@@ -405,7 +383,7 @@
 
     def _look_at(self, step: Step, now: float) -> None:
         """Look at a step at the next decision, though it may wait for tickets only."""
-        self._touched[step] = None
+        self._candidates.touch(step)
         self.waiting.add(step, now)
 
     def _give_up_reservations(self, now: float) -> None:
@@ -502,7 +480,7 @@
                 for attempt in step.incomplete_attempts():
                     self.tracker.stop_gang(step, attempt, "the gang was found incomplete")
                 if step in self.waiting:
-                    self._touched[step] = None
+                    self._candidates.touch(step)
 
     @property
     def settled(self) -> bool:
@@ -531,7 +509,7 @@
         if step.ready_at is None or step.job.phase.final or step.done:
             return
         self.waiting.add(step, now)
-        self._touched[step] = None
+        self._candidates.touch(step)
 
     def _note_start(self, job: Job) -> None:
         if not job.started:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -74,7 +74,7 @@
     :param jobs: the jobs that have not ended, by id.
     :param lease_s: longest task lease that a host grants.
     :ivar orders: stops, and starts to be sent again, to be taken by the caller.
-    :ivar changed: hosts whose room or state has changed since the last look.
+    :ivar changed: hosts whose room or state has changed since they were last taken.
     """
 
     jobs: dict[str, Job]
@@ -371,6 +371,12 @@
 
     # ------------------------------------------------------------ runs
 
+    def take_changed(self) -> list[Host]:
+        """Return the hosts whose room or state has changed since the last call."""
+        found = [self.hosts[id] for id in self.changed if id in self.hosts]
+        self.changed.clear()
+        return found
+
     def take_orders(self) -> list[StartOrder | StopOrder]:
         """Return the stops, and the starts to be sent again, since the last call."""
         orders, self.orders = self.orders, []
--- /dev/null
+++ b/tests/cell/test_advice_desk.py
@@ -0,0 +1,82 @@
+"""Which process asks the policy service which question, with short and long ones waiting."""
+
+from __future__ import annotations
+
+import pytest
+from attrs import evolve
+
+from rhubarbferry.cell.advice_desk import LONG_S, AdviceDesk
+from rhubarbferry.dispatch.messages import AdviceCost, AdviceOrder, StepId
+
+from .parts import member
+
+SHORT = AdviceCost(decision_s=LONG_S / 2, per_host_s=0.0, valid_s=5.0)
+LONG = AdviceCost(decision_s=2 * LONG_S, per_host_s=0.0, valid_s=5.0)
+MEMBERS = [
+    evolve(member("far"), region="elsewhere"),
+    member("near"),
+    member("own"),
+    evolve(member("farther"), region="elsewhere"),
+]
+
+
+def question(job: str, cost: AdviceCost) -> AdviceOrder:
+    return AdviceOrder(step=StepId(job=job, occurrence=0, step=0), hosts=("a",), cost=cost)
+
+
+def ask(desk: AdviceDesk, *questions: tuple[str, AdviceCost]) -> list[tuple[str, str]]:
+    for job, cost in questions:
+        desk.add(question(job, cost), priority=0)
+    return assigned(desk)
+
+
+def assigned(desk: AdviceDesk) -> list[tuple[str, str]]:
+    return [(item.order.step.job, item.member.name) for item in desk.assign(MEMBERS)]
+
+
+ASSIGNED = {
+    "a short one goes to the nearest": ([("a", SHORT)], [("a", "own")]),
+    "a long one goes to the farthest": ([("a", LONG)], [("a", "farther")]),
+    "short ones take all processes, near ones first": (
+        [(job, SHORT) for job in "abcde"],
+        [("a", "own"), ("b", "near"), ("c", "far"), ("d", "farther")],
+    ),
+    "long ones take half of the processes": (
+        [(job, LONG) for job in "abc"],
+        [("a", "farther"), ("b", "far")],
+    ),
+    "a short one passes long ones that have to wait": (
+        [("a", LONG), ("b", LONG), ("c", LONG), ("d", SHORT)],
+        [("a", "farther"), ("b", "far"), ("d", "own")],
+    ),
+}
+
+
+@pytest.mark.parametrize(("questions", "found"), ASSIGNED.values(), ids=ASSIGNED.keys())
+def test_questions_go_to_free_processes(questions, found):
+    """Guards against short questions that wait behind long ones."""
+    assert ask(AdviceDesk(own="own", region="region"), *questions) == found
+
+
+def test_a_process_asks_one_question_at_a_time():
+    desk = AdviceDesk(own="own", region="region")
+    ask(desk, *[(job, SHORT) for job in "abcde"])
+    assert assigned(desk) == []
+    desk.done("far")
+    assert assigned(desk) == [("e", "far")]
+
+
+def test_long_questions_under_way_count_until_they_are_answered():
+    """Guards against long questions that come to hold all processes."""
+    desk = AdviceDesk(own="own", region="region")
+    ask(desk, ("a", LONG), ("b", LONG))
+    assert ask(desk, ("c", LONG)) == []
+    desk.done("farther")
+    assert assigned(desk) == [("c", "farther")]
+
+
+def test_questions_of_a_lower_priority_number_go_first():
+    desk = AdviceDesk(own="own", region="region")
+    for job, priority in [("late", 2), ("soon", 0), ("next", 1)]:
+        desk.add(question(job, SHORT), priority=priority)
+    assert [job for job, _ in assigned(desk)] == ["soon", "next", "late"]
