--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -92,15 +92,15 @@
 
     async def _is_gone(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped to answer; ask it once where it does."""
-        refused = silent = 0
-        while refused < MISSES and silent < self.patience():
+        refused = unanswered = 0
+        while refused < MISSES and unanswered < self.patience():
             match await self._ping(ownership.owner):
                 case Reach.ANSWERED:
                     await self.clock.sleep(PING_S)
                     return False
                 case Reach.REFUSED:
                     refused += 1
-            silent += 1
+            unanswered += 1
             await self.clock.sleep(AGAIN_S)
             if self.view.ownership is None or self.view.ownership.fence != ownership.fence:
                 return False
