--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 
-from attrs import define, field
+from attrs import define
 
 from rhubarbferry.cell.candidate import TURN_S
 from rhubarbferry.cell.logs import EventLog
@@ -22,11 +21,9 @@
 AGAIN_S = 0.05
 # So many pings in a row without an answer: one may be lost with its connection.
 MISSES = 2
-# Changes of the owner within this time count as recent.
-RECENT_CHANGE_S = 10.0
-# At most so many recent changes each double the pings that a silent owner may leave unanswered.
-# After the third its lease ends first, if it can't extend it either.
-MOST_DOUBLINGS = 3
+# An owner that has begun within this time may leave so many pings unanswered.
+NEW_OWNER_S = 2.0
+NEW_OWNER_MISSES = 4
 # So many processes watch the owner, the first ones in the order of succession.
 WATCHERS = 3
 # How many others are asked, to see that it is not this process that is cut off.
@@ -53,7 +50,7 @@
     peers: PeerClient
     replace: Callable[[Ownership], Awaitable[bool]]
     _fence: int = 0
-    _changes: deque[float] = field(factory=lambda: deque(maxlen=MOST_DOUBLINGS))
+    _changed_at: float = float("-inf")
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -73,22 +70,22 @@
         return names.index(self.own.name) if self.own.name in names else None
 
     def note_owner(self, ownership: Ownership | None) -> None:
-        """Count the changes of the owner."""
+        """Note when the owner has changed."""
         if ownership is None or ownership.fence == self._fence:
             return
         if self._fence:
-            self._changes.append(self.clock.monotonic())
+            self._changed_at = self.clock.monotonic()
         self._fence = ownership.fence
 
     def patience(self) -> int:
         """Return how many pings in a row a silent owner may leave unanswered.
 
-        An owner that has just begun reads a backlog, and on a busy processor it may be slow to
-        answer. Replaced each time for that, one owner after the other would begin and none would
-        ever get to work.
+        One that has just begun reads a backlog and connects to all hosts, and on a busy processor
+        it is slow to answer meanwhile. Replaced each time for that, one owner after the other would
+        begin and none would ever get to work.
         """
-        since = self.clock.monotonic() - RECENT_CHANGE_S
-        return MISSES * 2 ** sum(1 for at in self._changes if at > since)
+        is_new = self.clock.monotonic() - self._changed_at < NEW_OWNER_S
+        return NEW_OWNER_MISSES if is_new else MISSES
 
     async def _is_gone(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped to answer; ask it once where it does."""
