--- a/rhubarbferry/cell/inbox.py
+++ b/rhubarbferry/cell/inbox.py
@@ -37,7 +37,7 @@
 # So many records are worked in before other tasks of the process get their turn. A long backlog on
 # a small processor would hold up the answers to pings and the renewals of the lease until another
 # process takes the work over, which then reads the same backlog.
-JOBS_PER_TURN = 16
+JOBS_PER_TURN = 4
 # An age above this is the mark of a clock that is wrong, or of a record without a time.
 OLDEST_S = 300.0
 
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -51,7 +51,7 @@
 HOST_RULES = EjectionRules(distinct_failures=3, window_s=10.0, eject_s=3.0, max_eject_s=12.0)
 # One decision places at most this many steps. The rest is left to the next one, so that the caller
 # gets to answer other processes between the two.
-STEPS_PER_DECISION = 128
+STEPS_PER_DECISION = 32
 # Between two walks through all hosts for what time alone changes: leases that lapse, and hosts that
 # take tasks again. Hosts that something has happened to are looked at in each decision.
 HOST_REVIEW_S = 0.05
