Let the tracker know its changed hosts itself; share the server of three tests

No change of behaviour: note_opened was always given the tracker's own set. Three tests of calls opened the same server and client by hand, one of them without closing both when it failed.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -247,7 +247,7 @@
         if self.holds.expire(now):
             # Any step may take the room that was kept.
             self.retry()
-        self.tracker.note_opened(now, self.tracker.changed)
+        self.tracker.note_opened(now)
         for step in [step for step, at in self._ask_again.items() if now >= at]:
             del self._ask_again[step]
             if not step.job.phase.final and not step.done:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Container, Iterable
+from collections.abc import Container
 
 from attrs import Factory, define, evolve, frozen
 
@@ -362,9 +362,9 @@
                 self.changed.add(host.id)
             host.is_open = opened
 
-    def note_opened(self, now: float, ids: Iterable[str]) -> None:
-        """Note which of some hosts take tasks now."""
-        for id in ids:
+    def note_opened(self, now: float) -> None:
+        """Note which of the changed hosts take tasks now."""
+        for id in self.changed:
             host = self.hosts.get(id)
             if host is not None:
                 host.is_open = host.takes_tasks(now)
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from contextlib import asynccontextmanager
 from functools import partial
 
 import pytest
@@ -46,6 +47,19 @@
         writer.close()
 
 
+@asynccontextmanager
+async def calling(handler, **fields):
+    """A client and the URL of a server that answers each connection with ``handler``."""
+    server = await asyncio.start_server(handler, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = JsonClient(**fields)
+    try:
+        yield client, f"http://127.0.0.1:{port}/"
+    finally:
+        await client.close()
+        server.close()
+
+
 @pytest.mark.parametrize(
     ("delay_s", "timeout_s", "transfer", "whole"),
     [
@@ -62,51 +76,35 @@
 ):
     """Guards against an answer that is cut off and read again without end on a slow link."""
     slowly = partial(answer, head=HEAD, parts=PARTS, delay_s=delay_s)
-    server = await asyncio.start_server(slowly, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = JsonClient()
-    call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=timeout_s, transfer=transfer)
-    try:
+    async with calling(slowly) as (client, url):
+        call = client.call("GET", url, timeout_s=timeout_s, transfer=transfer)
         if whole:
             assert (await call).status == 200
         else:
             with pytest.raises(NoAnswer):
                 await call
-    finally:
-        await client.close()
-        server.close()
 
 
 @pytest.mark.parametrize(("extra_s", "answered"), [(0.0, False), (0.5, True)])
 async def test_a_call_may_take_longer_by_what_this_process_is_behind(extra_s, answered):
     """Guards against calls that a busy process sends again while their answers lie unread."""
     slowly = partial(answer, delay_s=0.3)
-    server = await asyncio.start_server(slowly, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = JsonClient(extra_s=lambda: extra_s)
-    call = client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=0.1)
-    try:
+    async with calling(slowly, extra_s=lambda: extra_s) as (client, url):
+        call = client.call("GET", url, timeout_s=0.1)
         if answered:
             assert (await call).status == 200
         else:
             with pytest.raises(NoAnswer):
                 await call
-    finally:
-        await client.close()
-        server.close()
 
 
 @pytest.mark.parametrize(("parts", "some"), [(0, False), (PARTS, True)])
 async def test_a_failed_call_says_whether_its_answer_had_begun_to_arrive(parts, some):
     """Guards against a transfer cut off by a time limit that looks like a silent connection."""
     slowly = partial(answer, head=HEAD, parts=parts)
-    server = await asyncio.start_server(slowly, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = JsonClient()
-    with pytest.raises(NoAnswer) as found:
-        await client.call("GET", f"http://127.0.0.1:{port}/", timeout_s=3.5 * PART_S)
-    await client.close()
-    server.close()
+    async with calling(slowly) as (client, url):
+        with pytest.raises(NoAnswer) as found:
+            await client.call("GET", url, timeout_s=3.5 * PART_S)
     assert (found.value.received_bytes > 0) is some
     assert f"{found.value.received_bytes} bytes of the body read" in str(found.value)
 
