Let the runner hold a request until the test lets it end

Cause: the test gave 0.2 s in which the request had to reach the runner. It now gives 2 s, and the runner goes on until the test says so, in place of 0.6 s: the same assertions.

--- a/rhubarbferry/test/runner.py
+++ b/rhubarbferry/test/runner.py
@@ -29,6 +29,8 @@
 RECENT = 4096
 CHUNK_BYTES = 64 * 1024
 MAX_DELAY_MS = 600_000
+# Between two looks at whether runs may end.
+HOLD_POLL_S = 0.01
 
 
 @define(kw_only=True)
@@ -60,6 +62,7 @@
     """What goes wrong until told otherwise.
 
     :param delay_ms: added to the run of each request.
+    :param hold: no run ends as long as this is set.
     :param late_ms: waited after the run has ended, before the answer goes out.
     :param truncate: send half of the announced bytes, then close.
     :param fail: run, then answer 500.
@@ -71,6 +74,7 @@
     """
 
     delay_ms: int = 0
+    hold: bool = False
     late_ms: int = 0
     truncate: bool = False
     fail: bool = False
@@ -319,7 +323,12 @@
         self.counts.executions += 1
         work_ms = _number(req.headers, "Work-Ms") + self._state.faults.delay_ms
         # Shielded from the connection: work that has begun goes on when its caller has gone.
-        await asyncio.shield(asyncio.sleep(min(work_ms, MAX_DELAY_MS) / 1000))
+        await asyncio.shield(self._run_for(min(work_ms, MAX_DELAY_MS) / 1000))
+
+    async def _run_for(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        while self._state.faults.hold:
+            await asyncio.sleep(HOLD_POLL_S)
 
     async def _answer(
         self, req: web.BaseRequest, execution: Execution, headers: dict[str, str]
--- a/tests/frontend/test_forward.py
+++ b/tests/frontend/test_forward.py
@@ -220,13 +220,14 @@
     request would be one too many there.
     """
     runner = await stage.add_runner()
-    runner.set_faults(delay_ms=600)
-    status, headers, _ = await stage.request("GET", Request_Timeout="0.2")
+    runner.set_faults(hold=True)
+    status, headers, _ = await stage.request("GET", Request_Timeout="2")
     assert (status, headers["Outcome"]) == (504, "unknown")
     await until(lambda: stage.scheduler.ends() == ["UNKNOWN"])
     assert runner.record[0].ended == 0 and stage.guard.open_grants() == 1
     (release,) = stage.scheduler.releases()
     assert release.remaining_ms > 5000
+    runner.set_faults(hold=False)
     await until(lambda: stage.scheduler.ends() == ["UNKNOWN", "DONE"])
     assert runner.record[0].ended > 0 and stage.guard.open_grants() == 0
 
