Look only at steps that a report can help; keep questions in their order

Now a report makes only those steps candidates that can use the host; questions wait in two heaps, short and long ones; a decision without candidates does not list the open hosts; the reservations of a step are listed once a decision; pauses between holds end in their order.

--- a/rhubarbferry/cell/advice_desk.py
+++ b/rhubarbferry/cell/advice_desk.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from attrs import Factory, define, field, frozen
 
@@ -24,6 +25,15 @@
     order: AdviceOrder
 
 
+@define(order=True, frozen=True, slots=True)
+class _Question:
+    """A question in its place: by priority, then as they came."""
+
+    priority: int
+    number: int
+    order: AdviceOrder = field(order=False)
+
+
 @define(kw_only=True, eq=False)
 class AdviceDesk:
     """Questions that wait, and the processes that are asking one.
@@ -36,44 +46,49 @@
 
     own: str
     region: str
-    _waiting: list[tuple[int, int, AdviceOrder]] = Factory(list)
+    _short: list[_Question] = Factory(list)
+    _long: list[_Question] = Factory(list)
     _busy: dict[str, AdviceOrder] = field(factory=dict)
+    _long_asked: int = 0
     _count: int = 0
 
     def add(self, order: AdviceOrder, *, priority: int) -> None:
         """Add a question; those of a lower ``priority`` number go first."""
         self._count += 1
-        self._waiting.append((priority, self._count, order))
+        waiting = self._long if _is_long(order) else self._short
+        heapq.heappush(waiting, _Question(priority, self._count, order))
 
     def done(self, member: str) -> None:
         """Note that a process has its answer, or none will come."""
-        self._busy.pop(member, None)
+        order = self._busy.pop(member, None)
+        if order is not None and _is_long(order):
+            self._long_asked -= 1
 
-    def assign(self, members: Iterable[Member]) -> list[Assignment]:
+    def assign(self, members: Collection[Member]) -> list[Assignment]:
         """Return the questions to ask now."""
-        if not self._waiting:
+        if not self._short and not self._long:
             return []
-        found = list(members)
-        near_first = sorted(found, key=self._distance)
-        free = deque(member for member in near_first if member.name not in self._busy)
-        # How many more long questions may be asked.
-        long_left = max(1, len(found) // 2) - sum(map(_is_long, self._busy.values()))
-        self._waiting.sort(key=lambda entry: entry[:2])
+        idle = [member for member in members if member.name not in self._busy]
+        free = deque(sorted(idle, key=self._distance))
+        most_long = max(1, len(members) // 2)
         assigned = []
-        left = []
-        for entry in self._waiting:
-            order = entry[2]
-            long = _is_long(order)
-            if not free or (long and long_left <= 0):
-                left.append(entry)
-                continue
+        while free:
+            long = self._takes_long(most_long)
+            if not long and not self._short:
+                break
+            order = heapq.heappop(self._long if long else self._short).order
             member = free.pop() if long else free.popleft()
-            long_left -= long
+            self._long_asked += long
             self._busy[member.name] = order
             assigned.append(Assignment(member=member, order=order))
-        self._waiting = left
         return assigned
 
+    def _takes_long(self, most: int) -> bool:
+        """Tell whether the next question to ask is a long one."""
+        if not self._long or self._long_asked >= most:
+            return False
+        return not self._short or self._long[0] < self._short[0]
+
     def _distance(self, member: Member) -> tuple[int, str]:
         if member.name == self.own:
             return (0, member.name)
--- a/rhubarbferry/dispatch/approvals.py
+++ b/rhubarbferry/dispatch/approvals.py
@@ -69,6 +69,19 @@
             return float("-inf")
         return ticket.expires_at
 
+    @property
+    def awaiting_first(self) -> bool:
+        """Whether a question is under way and no host has been approved yet."""
+        return bool(self.asking) and not self.approved
+
+    def allows(self, host: str) -> bool:
+        """Tell whether a host may be used now, or may be asked about now.
+
+        While a question is under way no other is asked for the step, so a host that nobody has
+        asked about is of no use to it until then.
+        """
+        return host in self.approved or not (self.asking or host in self.denied)
+
     def unknown(self, host: str) -> bool:
         """Tell whether nobody has asked about a host."""
         return host not in self.approved and host not in self.denied
--- a/rhubarbferry/dispatch/candidates.py
+++ b/rhubarbferry/dispatch/candidates.py
@@ -45,7 +45,9 @@
         if changed:
             most = max(host.room.millicores for host in changed)
             for step in self.waiting.in_order(millicores=most):
-                if step not in found and any(_may_help(step, host) for host in changed):
+                if step in found or step.approvals.awaiting_first:
+                    continue
+                if any(_may_help(step, host) for host in changed):
                     found.add(step)
         self._found.extend(sorted(found, key=self.waiting.order))
 
@@ -64,4 +66,4 @@
 
 
 def _may_help(step: Step, host: Host) -> bool:
-    return host.id not in step.approvals.denied and step.req.room.fits(host.room)
+    return step.approvals.allows(host.id) and step.req.room.fits(host.room)
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -279,6 +279,8 @@
         """Place the next candidates; those that this decision does not get to are left over."""
         if not self._candidates:
             self._candidates.find(self.tracker.take_changed())
+        if not self._candidates:
+            return []
         orders: list[Order] = []
         ordered = 0
         open_hosts = self._open_hosts(now)
@@ -308,8 +310,7 @@
         if step.job.id in self._unsettled:
             return []
         advice = step.job.queue.advice
-        if advice is not None and step.approvals.asking and not step.approvals.approved:
-            # Nothing can be done before its first question has been answered.
+        if step.approvals.awaiting_first:
             return []
         allowed = open_hosts
         if advice is not None:
@@ -388,10 +389,12 @@
 
     def _give_up_reservations(self, now: float) -> None:
         for step in list(self._reserving):
-            for run in reservations.overdue(step, self.tracker.hosts, now):
+            runs = reservations.reserved(step)
+            overdue = reservations.overdue(step, runs, self.tracker.hosts, now)
+            for run in overdue:
                 self.tracker.release(run)
                 self._enqueue(step, now)
-            if not reservations.reserved(step):
+            if len(overdue) == len(runs):
                 del self._reserving[step]
 
     # ------------------------------------------------------------ ends
--- a/rhubarbferry/dispatch/holds.py
+++ b/rhubarbferry/dispatch/holds.py
@@ -92,7 +92,11 @@
         for step in over:
             del self._holds[step]
             self._not_before[step] = now + HOLD_PAUSE_S
-        for step in [step for step, at in self._not_before.items() if now >= at]:
+        # All pauses are of one length, so those that end first come first.
+        while self._not_before:
+            step, until = next(iter(self._not_before.items()))
+            if now < until:
+                break
             del self._not_before[step]
         return bool(over)
 
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -58,19 +58,17 @@
     return step.approvals.lapses_at(host.id, host.entry.incarnation)
 
 
-def overdue(step: Step, hosts: Mapping[str, Host], now: float) -> list[Run]:
-    """Return a step's reservations to give up: too old, or on a host that takes no tasks now."""
+def overdue(step: Step, runs: list[Run], hosts: Mapping[str, Host], now: float) -> list[Run]:
+    """Return those of a step's reservations to give up: too old, or on a host that is closed."""
+    advice = step.job.queue.advice
+    longest_s = 2 * advice.duration_s(len(step.tasks)) + SLACK_S if advice else SLACK_S
     return [
-        run for run in reserved(step) if now > _latest(run) or not hosts[run.host].takes_tasks(now)
+        run
+        for run in runs
+        if now > run.ordered_at + longest_s or not hosts[run.host].takes_tasks(now)
     ]
 
 
-def _latest(run: Run) -> float:
-    advice = run.task.step.job.queue.advice
-    longest = advice.duration_s(len(run.task.step.tasks)) if advice is not None else 0.0
-    return run.ordered_at + 2 * longest + SLACK_S
-
-
 def redeem(run: Run, host: Host, ticket: str, checkpoint: str | None, now: float) -> StartOrder:
     """Turn a reservation into the order that starts its task.
 
--- a/tests/cell/test_advice_desk.py
+++ b/tests/cell/test_advice_desk.py
@@ -80,3 +80,20 @@
     for job, priority in [("late", 2), ("soon", 0), ("next", 1)]:
         desk.add(question(job, SHORT), priority=priority)
     assert [job for job, _ in assigned(desk)] == ["soon", "next", "late"]
+
+
+def test_questions_that_have_to_wait_are_not_gone_through():
+    """Guards against decisions that take longer the more questions wait for a free process."""
+    looked_at = []
+
+    class Counted(AdviceCost):
+        def duration_s(self, hosts: int) -> float:
+            looked_at.append(hosts)
+            return super().duration_s(hosts)
+
+    cost = Counted(decision_s=LONG_S / 2, per_host_s=0.0, valid_s=5.0)
+    desk = AdviceDesk(own="own", region="region")
+    ask(desk, *[(f"job{index}", cost) for index in range(500)])
+    looked_at.clear()
+    assert assigned(desk) == []
+    assert looked_at == []
--- a/tests/dispatch/test_decision_cost.py
+++ b/tests/dispatch/test_decision_cost.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from .world import World, job, step
+import pytest
+from attrs import evolve
+
+from rhubarbferry.dispatch.approvals import StepApprovals
+from rhubarbferry.dispatch.candidates import Candidates
+from rhubarbferry.dispatch.messages import AdviceCost
+from rhubarbferry.dispatch.waiting import WaitingSteps
+
+from .world import QUEUE, World, job, step
 
 
 class Untouched(dict):
@@ -23,3 +31,26 @@
     for host in world.dispatcher.tracker.hosts.values():
         host.runs = Untouched(host.runs)
     assert world.decide(0.1) == []
+
+
+ADVISED = evolve(QUEUE, advice=AdviceCost(decision_s=0.4, per_host_s=0.01, valid_s=2.0))
+REPORTED = {
+    "while its first question is under way": ({"asking": {"a", "b"}}, "a", False),
+    "by a host that it may use": ({"approved": {"a"}, "asking": {"b"}}, "a", True),
+    "by a host that is being asked about": ({"approved": {"a"}, "asking": {"b"}}, "b", False),
+    "by a host that it may not use": ({"denied": {"a"}}, "a", False),
+    "by a host that can be asked about": ({"denied": {"a"}}, "b", True),
+}
+
+
+@pytest.mark.parametrize(("approvals", "host", "tried"), REPORTED.values(), ids=REPORTED.keys())
+def test_a_report_lets_only_those_steps_be_tried_that_can_use_the_host(approvals, host, tried):
+    """Guards against decisions that take longer the more steps wait for an approval."""
+    world = World("a", "b")
+    waiting = WaitingSteps()
+    (candidate,) = world.add(job("j", step(), queue=ADVISED)).steps()
+    candidate.approvals = StepApprovals(**approvals)
+    waiting.add(candidate, world.now)
+    candidates = Candidates(waiting=waiting)
+    candidates.find([world.dispatcher.tracker.hosts[host]])
+    assert bool(candidates) is tried
