--- a/rhubarbferry/test/runner.py
+++ b/rhubarbferry/test/runner.py
@@ -327,7 +327,7 @@
 
     async def _run_for(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
-        while self._state.faults.hold:
+        while self._state.faults.hold:  # noqa: ASYNC110 - a fault is a plain value
             await asyncio.sleep(HOLD_POLL_S)
 
     async def _answer(
