Filter hosts in one pass; list the ejected ones once a step

The bench let the number of processes that ask the policy service stand at 8 whatever the number of hosts, so that at 270 hosts it measured little but a backlog of questions; it is in proportion now.

--- a/bench/slopes_dispatch.py
+++ b/bench/slopes_dispatch.py
@@ -1,4 +1,6 @@
-"""Processor time of the dispatcher against the number of hosts, with work in proportion.
+"""Processor time of the dispatcher against the number of hosts.
+
+Jobs, and the processes that ask the policy service, are in proportion to the hosts.
 
 Run: python bench/slopes_dispatch.py [HOSTS ...]. Plays the calm generated day, scaled, and counts
 the processor time that passes in calls of the dispatcher. Prints one JSON line for each size.
@@ -19,7 +21,7 @@
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.messages import StartOrder
 
-SIZES = (24, 72, 176)
+SIZES = (24, 176, 270, 550)
 SECONDS = 20.0
 CALLS = ("add_job", "reported", "start_answered", "advised", "decide", "retry", "recorded")
 
@@ -53,7 +55,8 @@
     try:
         scale = hosts / CALM.hosts
         works = tuple(evolve(work, per_s=work.per_s * scale) for work in CALM.works)
-        day = evolve(CALM, hosts=hosts, works=works, seconds=SECONDS)
+        members = round(CALM.members * scale)
+        day = evolve(CALM, hosts=hosts, members=members, works=works, seconds=SECONDS)
         Cell(day=day, seed=f"slopes {hosts}").play()
     finally:
         for name, call in originals.items():
--- a/rhubarbferry/core/ejection.py
+++ b/rhubarbferry/core/ejection.py
@@ -41,6 +41,11 @@
     eject_s: float = 0.0
     probing: str | None = None
 
+    def is_out(self, now: float) -> bool:
+        if self.ejected_until is None:
+            return False
+        return self.ejected_until > now or self.probing is not None
+
 
 @define(kw_only=True, eq=False)
 class Ejector:
@@ -54,14 +59,16 @@
         host = self._hosts.get(id)
         if host is None or host.ejected_until is None:
             return Health.IN_USE
-        if host.ejected_until > now or host.probing is not None:
-            return Health.EJECTED
-        return Health.PROBED
+        return Health.EJECTED if host.is_out(now) else Health.PROBED
 
     def usable(self, id: str, *, now: float) -> bool:
         """Tell whether a host may get work now; a probed one gets a single piece."""
         return self.health(id, now=now) is not Health.EJECTED
 
+    def unusable(self, *, now: float) -> set[str]:
+        """Return the hosts that may not get work now."""
+        return {id for id, host in self._hosts.items() if host.is_out(now)}
+
     def started(self, id: str, cause: str, *, now: float) -> None:
         """Note that a host got a piece of work; for a probed one it is the probe."""
         if self.health(id, now=now) is Health.PROBED:
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -283,7 +283,9 @@
             return []
         orders: list[Order] = []
         ordered = 0
-        open_hosts = self._open_hosts(now)
+        open_hosts = [host for host in self.tracker.hosts.values() if host.is_open]
+        usable = open_hosts
+        unusable: set[str] = set()
         for _ in range(STEPS_PER_DECISION):
             if ordered >= starts:
                 self._candidates.put_back()
@@ -291,21 +293,15 @@
             step = self._candidates.pop()
             if step is None:
                 break
-            found = self._place(step, open_hosts, now)
+            # A host on probation takes one task at a time.
+            known, unusable = unusable, self._ejector.unusable(now=now)
+            if unusable != known:
+                usable = [host for host in open_hosts if host.id not in unusable]
+            found = self._place(step, usable, now)
             ordered += sum(isinstance(order, StartOrder) for order in found)
             orders += found
-            if self._ejector.ejected():
-                # A host on probation takes one task at a time.
-                open_hosts = self._open_hosts(now)
         return orders
 
-    def _open_hosts(self, now: float) -> list[Host]:
-        """Return the hosts that may get a task at this decision."""
-        hosts = [host for host in self.tracker.hosts.values() if host.is_open]
-        if self._ejector.ejected():
-            hosts = [host for host in hosts if self._ejector.usable(host.id, now=now)]
-        return hosts
-
     def _place(self, step: Step, open_hosts: list[Host], now: float) -> list[Order]:
         if step.job.id in self._unsettled:
             return []
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterable, Mapping
 
 from attrs import frozen
@@ -21,27 +22,36 @@
 
 def could_run(step: Step, host: Host) -> bool:
     """Tell whether a host of the right pool could ever hold a task of the step."""
-    req = step.req
-    if host.entry.service != step.job.queue.service:
-        return False
-    if req.required_label and req.required_label not in host.entry.labels:
-        return False
-    return req.room.fits(host.entry.capacity)
+    return bool(that_could_run(step, (host,)))
+
+
+def that_could_run(step: Step, hosts: Iterable[Host]) -> list[Host]:
+    """Return the hosts of the right pool that could ever hold a task of the step."""
+    need = step.req.room
+    label = step.req.required_label
+    service = step.job.queue.service
+    return [
+        host
+        for host in hosts
+        if host.entry.service == service
+        and (not label or label in host.entry.labels)
+        and need.fits(host.entry.capacity)
+    ]
 
 
 def slots_on(step: Step, host: Host, room: Sizes) -> int:
     """Return how many more tasks of the step a host can take within ``room``."""
     need = step.req.room
-    bounds = []
+    slots = sys.maxsize
     if need.millicores:
-        bounds.append(room.millicores // need.millicores)
+        slots = min(slots, room.millicores // need.millicores)
     if need.memory_mb:
-        bounds.append(room.memory_mb // need.memory_mb)
+        slots = min(slots, room.memory_mb // need.memory_mb)
     if need.accelerators:
-        bounds.append(room.accelerators // need.accelerators)
+        slots = min(slots, room.accelerators // need.accelerators)
     if step.req.max_per_host:
-        bounds.append(step.req.max_per_host - tasks_on(step, host))
-    return max(0, min(bounds, default=len(step.tasks)))
+        slots = min(slots, step.req.max_per_host - tasks_on(step, host))
+    return max(0, slots) if slots < sys.maxsize else len(step.tasks)
 
 
 def tasks_on(step: Step, host: Host) -> int:
@@ -60,11 +70,8 @@
     :param kept: room of hosts that is kept for others.
     """
     need = step.req.room
-    fitting = [
-        host
-        for host in hosts
-        if need.fits(host.room) and could_run(step, host) and host.takes_tasks(now)
-    ]
+    with_room = [host for host in hosts if need.fits(host.room)]
+    fitting = [host for host in that_could_run(step, with_room) if host.takes_tasks(now)]
     if not fitting:
         return []
     open_hosts = [(host, slots_on(step, host, _left(host, kept))) for host in fitting]
@@ -82,11 +89,15 @@
     return host.room
 
 
+def is_far(step: Step, host: Host) -> bool:
+    """Tell whether a host is away from the rack that has the data of a step."""
+    return bool(step.req.near_rack) and step.req.near_rack not in host.entry.labels
+
+
 def _rank(step: Step, host: Host) -> tuple[bool, int, str]:
-    far = bool(step.req.near_rack) and step.req.near_rack not in host.entry.labels
     left = host.room.millicores - step.req.room.millicores
     # A task far from its data takes several times as long, which no packing makes up for.
-    return far, left, host.id
+    return is_far(step, host), left, host.id
 
 
 def _fill(waiting: list[Task], open_hosts: list[tuple[Host, int]]) -> list[Placed]:
