Name as many hosts in a question as a step needs

Cause: each question named all open hosts, up to 100, so that an answer took as long as it takes for 100: with an expected 0.48 s and 6.9 ms a host, 1.17 s, of the 1.2 s beyond the work that such a job has. The verdicts on hosts that the step never uses cost the owner a ticket each.

Now the hosts with most room come first, and no more are named than hold the missing tasks with a margin of three standard deviations, by the share of the hosts that the queue's earlier answers have approved. Where all hosts are not enough all are named, as before. Others give way to a step only once no host with free room is left to ask about, and a step that waits for its first answer no longer uses up its try at making room.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -37,7 +37,8 @@
 from rhubarbferry.dispatch.objective import Urgency
 from rhubarbferry.dispatch.pacing import Pacing
 from rhubarbferry.dispatch.placement import Placed, place
-from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question
+from rhubarbferry.dispatch.question_size import ApprovedShare
+from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question, room_to_ask_for
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.dispatch.tracker import Outcome, RunEnded, RunRefused, Tracker
 from rhubarbferry.dispatch.waiting import WaitingSteps
@@ -93,6 +94,7 @@
     _unsettled: dict[str, Job] = Factory(dict)
     _hosts_reviewed_at: float = float("-inf")
     _queues: Mapping[str, Queue] | None = None
+    _shares: dict[str, ApprovedShare] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s)
@@ -216,9 +218,16 @@
             return
         hosts = self.tracker.hosts
         incarnations = {id: hosts[id].entry.incarnation for id in advice.asked if id in hosts}
+        fresh = {id for id in advice.asked if step.approvals.unknown(id)}
         step.approvals.learn(advice, incarnations)
+        approved = len(fresh & step.approvals.approved)
+        self.approved_share(step.job.queue).note(asked=len(fresh), approved=approved)
         self._look_at(step, now)
 
+    def approved_share(self, queue: Queue) -> ApprovedShare:
+        """Return what is known of how many hosts the policy approves for steps of a queue."""
+        return self._shares.setdefault(queue.name, ApprovedShare())
+
     def advice_failed(self, order: AdviceOrder, *, now: float) -> None:
         """Note that a question got no answer."""
         step = self._step(order.step)
@@ -317,19 +326,29 @@
         placed = self._find_hosts(step, allowed, now)
         if placed:
             self.holds.drop(step)
-        elif self.waiting.urgency(step) is Urgency.IN_TIME and step.waiting():
+        elif self._may_take_room(step, allowed, open_hosts):
             self._make_room(step, allowed, now)
         orders: list[Order] = []
         if placed or advice is not None:
             orders += self._reserve(step, placed, now)
         if advice is not None:
             held = self.holds.hosts(step)
-            question = next_question(step, open_hosts, self.tracker.hosts, held, now)
+            share = self.approved_share(step.job.queue).value
+            question = next_question(step, open_hosts, self.tracker.hosts, held, share, now)
             orders += [question] if question is not None else []
         if not step.waiting():
             self.waiting.discard(step)
         return orders
 
+    def _may_take_room(self, step: Step, allowed: list[Host], open_hosts: list[Host]) -> bool:
+        """Tell whether others may give way to a step that has found no room.
+
+        They do so only once it is known that no host with free room may be used.
+        """
+        if not allowed or self.waiting.urgency(step) is not Urgency.IN_TIME:
+            return False
+        return bool(step.waiting()) and not room_to_ask_for(step, open_hosts)
+
     def _find_hosts(self, step: Step, allowed: list[Host], now: float) -> list[Placed]:
         if not self.holds or step not in self.waiting:
             return place(step, allowed, now)
--- a/rhubarbferry/dispatch/questions.py
+++ b/rhubarbferry/dispatch/questions.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 from rhubarbferry.dispatch import reservations
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Step
 from rhubarbferry.dispatch.messages import AdviceOrder
-from rhubarbferry.dispatch.placement import could_run
+from rhubarbferry.dispatch.placement import that_could_run
+from rhubarbferry.dispatch.question_size import hosts_to_name
 
 # One question names at most this many hosts; the policy service refuses longer ones.
 HOSTS_PER_QUESTION = 100
@@ -18,9 +19,10 @@
 
 def next_question(
     step: Step,
-    open_hosts: Iterable[Host],
+    open_hosts: Sequence[Host],
     hosts: Mapping[str, Host],
     held: Container[str],
+    share: float,
     now: float,
 ) -> AdviceOrder | None:
     """Return the question, or ``None`` when there is nothing to ask now.
@@ -31,6 +33,7 @@
     :param open_hosts: hosts that may get a task now.
     :param hosts: all hosts.
     :param held: hosts that are held for the step.
+    :param share: expected share of the hosts that will be approved.
     """
     approvals = step.approvals
     cost = step.job.queue.advice
@@ -40,9 +43,7 @@
     if not wanted:
         wanted = _held_without_ticket(step, hosts, held, now)
     if not wanted and step.waiting():
-        wanted = [
-            host.id for host in open_hosts if approvals.unknown(host.id) and could_run(step, host)
-        ]
+        wanted = _not_asked_about(step, open_hosts, share)
     if not wanted:
         return None
     asked = tuple(wanted[:HOSTS_PER_QUESTION])
@@ -50,6 +51,23 @@
     return AdviceOrder(step=step.id, hosts=asked, cost=cost)
 
 
+def room_to_ask_for(step: Step, open_hosts: Iterable[Host]) -> bool:
+    """Tell whether a host that nobody has asked about for a step has room for a task of it."""
+    if step.job.queue.advice is None:
+        return False
+    need = step.req.room
+    unknown = step.approvals.unknown
+    free = [host for host in open_hosts if need.fits(host.room) and unknown(host.id)]
+    return bool(that_could_run(step, free))
+
+
+def _not_asked_about(step: Step, open_hosts: Sequence[Host], share: float) -> list[str]:
+    approvals = step.approvals
+    unknown = [host for host in open_hosts if approvals.unknown(host.id)]
+    approved = [host for host in open_hosts if host.id in approvals.approved]
+    return [host.id for host in hosts_to_name(step, that_could_run(step, unknown), approved, share)]
+
+
 def _held_without_ticket(
     step: Step, hosts: Mapping[str, Host], held: Container[str], now: float
 ) -> list[str]:
--- /dev/null
+++ b/tests/dispatch/test_question_size.py
@@ -0,0 +1,183 @@
+"""How many hosts a question names: each one makes the answer, and with it the start, later."""
+
+from __future__ import annotations
+
+import pytest
+from attrs import evolve
+
+from rhubarbferry.dispatch.job import Step
+from rhubarbferry.dispatch.messages import (
+    Advice,
+    AdviceCost,
+    AdviceOrder,
+    Approval,
+    Order,
+    StepRequest,
+    StopOrder,
+)
+from rhubarbferry.dispatch.question_size import (
+    MOST_HOSTS,
+    PRIOR_SHARE,
+    ApprovedShare,
+    hosts_to_name,
+)
+from rhubarbferry.dispatch.questions import HOSTS_PER_QUESTION
+
+from .world import CORES, QUEUE, World, job, step
+
+ADVISED = evolve(QUEUE, advice=AdviceCost(decision_s=0.4, per_host_s=0.01, valid_s=2.0))
+HOSTS = 90
+# Each host of the tests has eight cores.
+NEEDS = {
+    "one task": (step(1), 1.0, 1),
+    "tasks that fill one host": (step(8), 1.0, 1),
+    "tasks that fill ten hosts": (step(80), 1.0, 10),
+    "tasks as large as a host": (step(5, millicores=8 * CORES), 1.0, 5),
+    "tasks that have to be on different hosts": (step(5, max_per_host=1), 1.0, 5),
+    "more tasks than all hosts hold": (step(HOSTS + 1, millicores=8 * CORES), 1.0, HOSTS),
+    "a gang for one rack": (step(2, gang=True, one_rack=True), 1.0, HOSTS),
+}
+
+
+def step_of(world: World, req: StepRequest) -> Step:
+    (found,) = world.add(job("j", req, queue=ADVISED)).steps()
+    return found
+
+
+def named(world: World, req: StepRequest, share: float) -> list[str]:
+    hosts = [world.dispatcher.tracker.hosts[id] for id in world.hosts]
+    return [host.id for host in hosts_to_name(step_of(world, req), hosts, [], share)]
+
+
+@pytest.mark.parametrize(("req", "share", "count"), NEEDS.values(), ids=NEEDS.keys())
+def test_no_more_hosts_are_named_than_the_tasks_need(req, share, count):
+    """Guards against answers that come late since hosts are named that nobody needs."""
+    world = World(*(f"h{index:02}" for index in range(HOSTS)))
+    assert len(named(world, req, share)) == count
+
+
+def test_more_hosts_are_named_where_fewer_are_approved():
+    """Guards against approvals that turn out too few, after which a second question is due."""
+    world = World(*(f"h{index:02}" for index in range(HOSTS)))
+    counts = [len(named(world, step(8, gang=True), share)) for share in (0.9, 0.5, 0.25)]
+    assert counts == sorted(set(counts))
+    # With 7 approved of 20 on average, one host that holds the step is all but certain.
+    assert counts[-1] < HOSTS / 2
+
+
+def test_hosts_with_more_room_are_named_first():
+    world = World(*(f"h{index}" for index in range(4)))
+    world.add_host("large", millicores=64 * CORES)
+    world.add_host("small", millicores=CORES)
+    found = named(world, step(200), 1.0)
+    assert (found[0], found[-1]) == ("large", "small")
+
+
+def test_hosts_near_the_data_are_named_first():
+    """Guards against tasks that take several times as long for a shorter question."""
+    world = World("a", "b")
+    world.add_host("c", labels=("kind", "rack"))
+    assert named(world, step(1, near_rack="rack"), 1.0) == ["c"]
+
+
+def test_steps_of_one_moment_do_not_all_name_the_same_hosts():
+    """Guards against jobs that are approved for the same hosts and wait for each other's room."""
+    world = World(*(f"h{index:02}" for index in range(HOSTS)))
+    hosts = list(world.dispatcher.tracker.hosts.values())
+    found = set()
+    for index in range(20):
+        (waiting,) = world.add(job(f"j{index}", step(8), queue=ADVISED)).steps()
+        found.update(host.id for host in hosts_to_name(waiting, hosts, [], 1.0))
+    assert len(found) > 10
+
+
+def question(orders: list[Order]) -> AdviceOrder:
+    (found,) = [order for order in orders if isinstance(order, AdviceOrder)]
+    return found
+
+
+def answer(world: World, order: AdviceOrder, approved: tuple[str, ...]) -> None:
+    advice = Advice(
+        step=order.step,
+        asked=order.hosts,
+        approvals=tuple(Approval(host=id, ticket="t") for id in approved),
+        answered_at=world.now,
+        valid_s=2.0,
+    )
+    world.dispatcher.advised(advice, now=world.now)
+
+
+def test_a_step_whose_hosts_are_denied_asks_about_others():
+    """Guards against a step that waits though hosts are free that it has not asked about."""
+    world = World(*(f"h{index:02}" for index in range(HOSTS)))
+    world.add(job("j", step(1), queue=ADVISED))
+    asked: list[str] = []
+    while len(asked) < HOSTS:
+        world.deliver_reports()
+        order = question(world.decide(0.1))
+        assert not set(order.hosts) & set(asked)
+        asked += order.hosts
+        answer(world, order, ())
+    assert len(asked) == HOSTS
+
+
+def test_a_full_cell_is_asked_about_as_a_whole():
+    """Guards against a step that finds out only when room comes free whether it may use it."""
+    world = World(*(f"h{index:02}" for index in range(HOSTS)))
+    world.add(job("others", step(8 * HOSTS)))
+    for order in world.starts():
+        world.accept(order)
+    while world.dispatcher.undecided:
+        world.accept(*world.starts())
+    world.add(job("j", step(1), queue=ADVISED))
+    assert len(question(world.decide(0.1)).hosts) == min(HOSTS, HOSTS_PER_QUESTION)
+
+
+def test_a_share_is_learnt_from_verdicts():
+    share = ApprovedShare()
+    assert share.value == PRIOR_SHARE
+    for _ in range(100):
+        share.note(asked=50, approved=40)
+    assert share.value == pytest.approx(0.8, abs=0.02)
+
+
+def test_a_share_that_has_changed_is_learnt_anew():
+    """Guards against a policy that has become stricter and is asked about too few hosts."""
+    share = ApprovedShare()
+    share.note(asked=int(MOST_HOSTS), approved=int(MOST_HOSTS))
+    for _ in range(10):
+        share.note(asked=int(MOST_HOSTS), approved=0)
+    assert 0.0 < share.value < 0.01
+
+
+def test_tickets_that_are_renewed_do_not_count_as_verdicts():
+    """Guards against a share that grows with each renewal, which only approved hosts get."""
+    world = World("a", "b", "c", "d")
+    world.add(job("j", step(40), queue=ADVISED))
+    first = question(world.decide())
+    answer(world, first, ("a",))
+    shares = world.dispatcher.approved_share(ADVISED)
+    known = shares.value
+    answer(world, evolve(first, hosts=("a",)), ("a",))
+    assert shares.value == known
+
+
+def test_nothing_gives_way_while_a_host_with_room_can_be_asked_about():
+    """Guards against tasks that are stopped for an urgent step though other hosts are idle."""
+    world = World("full")
+    lower = evolve(QUEUE, name="lower", priority=5)
+    req = step(8, estimate=60.0, checkpointable=True)
+    world.add(job("others", req, queue=lower))
+    world.accept(*world.starts())
+    world.deliver_reports()
+    urgent = world.add(job("j", step(1, estimate=60.0), queue=evolve(ADVISED, objective_s=30.0)))
+    answer(world, question(world.decide(0.1)), ("full",))
+    world.add_host("idle")
+    orders = world.decide(0.1)
+    assert question(orders).hosts == ("idle",)
+    assert not any(isinstance(order, StopOrder) for order in orders)
+    answer(world, question(orders), ())
+    world.deliver_reports()
+    stops = [order for order in world.decide(0.1) if isinstance(order, StopOrder)]
+    assert [order.task.job for order in stops] == ["others"]
+    assert not urgent.started
