Bound the open connections for orders to one host

They grow with hosts times the orders at once to a host, up to 32, and stay open for 30 s between orders. Now at most 8 a host for orders, and looks have their own.

--- a/rhubarbferry/platform/http.py
+++ b/rhubarbferry/platform/http.py
@@ -15,8 +15,8 @@
 KEEP_OPEN_S = 30.0
 # A round trip between regions, and time for a busy host.
 CONNECT_S = 0.3
-# Connections to one address at a time; runners allow 64 from all callers together.
-MAX_PER_ADDRESS = 32
+# Connections to one address at a time.
+CONNECTIONS_PER_ADDRESS = 32
 
 
 class NotSent(Exception):
@@ -108,10 +108,17 @@
     """Calls of one process to one kind of service.
 
     :param extra_s: returns by how many seconds to extend time limits, as this process is behind.
+    :param connections: to one address at a time; calls beyond that wait, within their time limits.
     """
 
-    def __init__(self, *, extra_s: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        extra_s: Callable[[], float] = lambda: 0.0,
+        connections: int = CONNECTIONS_PER_ADDRESS,
+    ) -> None:
         self._extra_s = extra_s
+        self._connections = connections
         self._session: aiohttp.ClientSession | None = None
 
     async def call(
@@ -191,7 +198,7 @@
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
-                    limit=0, limit_per_host=MAX_PER_ADDRESS, keepalive_timeout=KEEP_OPEN_S
+                    limit=0, limit_per_host=self._connections, keepalive_timeout=KEEP_OPEN_S
                 ),
                 trace_configs=[_trace()],
                 auto_decompress=False,
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -31,6 +31,9 @@
 ORDER_S = 0.4
 # A report lists up to 500 ends, which take a slow link longer than an order's answer may.
 REPORT_LIMIT = TransferLimit(idle_s=0.3, total_s=1.5)
+# Open connections for orders to one host. They stay open between orders, and the owner has some to
+# each host, so that at many hosts its descriptors would run out.
+ORDER_CONNECTIONS = 8
 EXPECT_HEADER = "Rhubarbferry-Expect-Instance"
 
 ENDS = {
@@ -58,7 +61,7 @@
     """
 
     def __init__(self, *, extra_s: Callable[[], float] = lambda: 0.0) -> None:
-        self._http = JsonClient(extra_s=extra_s)
+        self._http = JsonClient(extra_s=extra_s, connections=ORDER_CONNECTIONS)
         # Looks wait for seconds each; on their own connections they never hold up an order.
         self._looks = JsonClient(extra_s=extra_s)
 
--- a/tests/on_platform/test_http.py
+++ b/tests/on_platform/test_http.py
@@ -109,6 +109,26 @@
     assert f"{found.value.received_bytes} bytes of the body read" in str(found.value)
 
 
+async def test_calls_at_once_share_the_connections_of_an_address():
+    """Guards against an owner whose descriptors run out, which opens some to each of many hosts."""
+    opened = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal opened
+        opened += 1
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.01)
+            writer.write(ANSWER)
+        writer.close()
+
+    async with calling(serve, connections=3) as (client, url):
+        calls = [client.call("GET", url, timeout_s=5.0) for _ in range(20)]
+        answers = await asyncio.gather(*calls)
+    assert [answer.status for answer in answers] == [200] * 20
+    assert opened == 3
+
+
 @pytest.fixture
 def full_queue():
     """A listening socket whose queue is full, so that opening packets are dropped."""
