Let idle servers sleep until they are stopped; find the succession once a change

Each process has three HTTP servers, and each of these looks ten times a second whether it is to stop. Besides, each process sorts all members four times a second to see whether it is to watch the owner, which grows with their number.

Now a server waits for its stop, or for the next second where its answers have a Date header; the order is found again only after a change of the members or of the owner.

--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -64,16 +64,19 @@
     """The members and the owner, kept up to date from listings and watches.
 
     :ivar registered: the store's revision at which each member has registered.
+    :ivar version: grows with each change of the members.
     """
 
     members: dict[str, Member] = field(factory=dict)
     registered: dict[str, int] = field(factory=dict)
     ownership: Ownership | None = None
+    version: int = 0
 
     def replace(self, items: Iterable[KeyValue], *, revision: int) -> None:
         """Take in a whole listing, as of a revision of the store."""
         self.members = {}
         self.registered = {}
+        self.version += 1
         if self.ownership is not None and self.ownership.fence <= revision:
             self.ownership = None
         for item in items:
@@ -99,6 +102,7 @@
             member = decode_member(kv.value)
             self.members[member.name] = member
             self.registered[member.name] = kv.mod_revision
+            self.version += 1
 
     def owned(self, ownership: Ownership) -> None:
         """Note who owns the work, unless a later owner is known.
@@ -118,6 +122,7 @@
             name = key.removeprefix(keys.MEMBERS)
             self.members.pop(name, None)
             self.registered.pop(name, None)
+            self.version += 1
 
 
 # Round trips to the store that differ by less than this count as alike; another region adds more.
--- a/rhubarbferry/cell/owner_watch.py
+++ b/rhubarbferry/cell/owner_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from attrs import define
+from attrs import define, field
 
 from rhubarbferry.cell.candidate import TURN_S
 from rhubarbferry.cell.logs import EventLog
@@ -51,23 +51,30 @@
     replace: Callable[[Ownership], Awaitable[bool]]
     _fence: int = 0
     _changed_at: float = float("-inf")
+    _watchers: list[str] = field(factory=list)
+    _watchers_of: tuple[int, int] | None = None
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
             ownership = self.view.ownership
             self.note_owner(ownership)
-            place = self._place(ownership) if ownership is not None else None
+            place = self.place(ownership) if ownership is not None else None
             if ownership is None or place is None:
                 await self.clock.sleep(PING_S)
             elif await self._is_gone(ownership):
                 await self._replace(ownership, place)
 
-    def _place(self, ownership: Ownership) -> int | None:
+    def place(self, ownership: Ownership) -> int | None:
         """Return this process's place among those that watch, ``None`` when it does not."""
-        watchers = successors(ownership.owner, self.view)[:WATCHERS]
-        names = [member.name for member in watchers]
-        return names.index(self.own.name) if self.own.name in names else None
+        # Each process asks several times a second, and the order takes longer to find the more
+        # members there are.
+        seen = (ownership.fence, self.view.version)
+        if seen != self._watchers_of:
+            self._watchers_of = seen
+            found = successors(ownership.owner, self.view)[:WATCHERS]
+            self._watchers = [member.name for member in found]
+        return self._watchers.index(self.own.name) if self.own.name in self._watchers else None
 
     def note_owner(self, ownership: Ownership | None) -> None:
         """Note when the owner has changed."""
--- a/rhubarbferry/frontend/daemon.py
+++ b/rhubarbferry/frontend/daemon.py
@@ -322,7 +322,7 @@
     end = clock.monotonic() + cfg.process.drain_s
     # Balancers look at /readyz now and then; what they still send in this time is served.
     await clock.sleep(min(DRAIN_NOTICE_S, cfg.process.drain_s / 2))
-    server.should_exit = True
+    server.stop()
     await asyncio.wait({serving}, timeout=max(0.0, end - clock.monotonic()))
     if not serving.done():
         server.force_exit = True
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -196,7 +196,7 @@
                 logger.opt(exception=task.exception()).error("a part of the process has ended")
         await self._leave()
         for server in servers:
-            server.should_exit = True
+            server.stop()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, *serving, return_exceptions=True)
--- a/rhubarbferry/serving/server.py
+++ b/rhubarbferry/serving/server.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import uvicorn
 
+# The Date header of answers, where there is one, shows seconds.
+DATE_S = 1.0
+
 
 class HttpServer(uvicorn.Server):
     """A server without signal handlers of its own.
@@ -15,6 +19,26 @@
     handed over.
     """
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopping = asyncio.Event()
+
+    def stop(self) -> None:
+        """Stop serving, once the requests in progress are done or their grace period is over."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self) -> None:
+        """Wait until the server is stopped.
+
+        That of uvicorn looks ten times a second, which is most of what an idle process does.
+        """
+        date_s = DATE_S if self.config.date_header else None
+        while not await self.on_tick(0):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(date_s):
+                    await self._stopping.wait()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the signals alone."""
--- a/tests/cell/test_owner_watch.py
+++ b/tests/cell/test_owner_watch.py
@@ -7,7 +7,8 @@
 import pytest
 from attrs import Factory, define
 
-from rhubarbferry.cell.members import CellView, Ownership
+from rhubarbferry.cell import keys, owner_watch
+from rhubarbferry.cell.members import CellView, Ownership, encode_member, successors
 from rhubarbferry.cell.owner_watch import (
     AGAIN_S,
     MISSES,
@@ -18,6 +19,7 @@
 )
 from rhubarbferry.cell.peers import Reach
 from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.ports.store import KeyPut, KeyValue
 from rhubarbferry.test.fake_clock import FakeClock
 
 from .parts import Lines, member
@@ -161,3 +163,30 @@
     assert cell.watch.patience() == NEW_OWNER_MISSES
     await cell.watch.clock.advance(NEW_OWNER_S)
     assert cell.watch.patience() == MISSES
+
+
+def registered(name: str) -> KeyPut:
+    key = keys.MEMBERS + name
+    value = encode_member(member(name))
+    return KeyPut(kv=KeyValue(key=key, value=value, mod_revision=9, create_revision=9))
+
+
+def test_the_order_of_succession_is_found_once_for_each_change_of_the_members(monkeypatch):
+    """Guards against work that each process does several times a second for each member."""
+    found = []
+
+    def counted(own, view):
+        found.append(own.name)
+        return successors(own, view)
+
+    monkeypatch.setattr(owner_watch, "successors", counted)
+    cell = Cell(peers=Peers(reaches={}))
+    ownership = cell.view.ownership
+    places = [cell.watch.place(ownership) for _ in range(10)]
+    assert len(set(places)) == len(found) == 1
+    cell.view.apply([registered("another")])
+    cell.watch.place(ownership)
+    assert len(found) == 2
+    cell.owned_by("other", FENCE + 1)
+    cell.watch.place(cell.view.ownership)
+    assert found == ["owner", "owner", "other"]
