--- a/rhubarbferry/cell/advice_desk.py
+++ b/rhubarbferry/cell/advice_desk.py
@@ -25,7 +25,7 @@
     order: AdviceOrder
 
 
-@define(order=True, frozen=True, slots=True)
+@frozen(kw_only=True, order=True, slots=True)
 class _Question:
     """A question in its place: by priority, then as they came."""
 
@@ -55,8 +55,8 @@
     def add(self, order: AdviceOrder, *, priority: int) -> None:
         """Add a question; those of a lower ``priority`` number go first."""
         self._count += 1
-        waiting = self._long if _is_long(order) else self._short
-        heapq.heappush(waiting, _Question(priority, self._count, order))
+        question = _Question(priority=priority, number=self._count, order=order)
+        heapq.heappush(self._long if _is_long(order) else self._short, question)
 
     def done(self, member: str) -> None:
         """Note that a process has its answer, or none will come."""
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -38,7 +38,7 @@
 from rhubarbferry.dispatch.pacing import Pacing
 from rhubarbferry.dispatch.placement import Placed, place
 from rhubarbferry.dispatch.question_size import ApprovedShare
-from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, next_question, room_to_ask_for
+from rhubarbferry.dispatch.questions import QUESTION_PAUSE_S, has_unasked_room, next_question
 from rhubarbferry.dispatch.succession import Succession
 from rhubarbferry.dispatch.tracker import Outcome, RunEnded, RunRefused, Tracker
 from rhubarbferry.dispatch.waiting import WaitingSteps
@@ -303,8 +303,9 @@
             if step is None:
                 break
             # A host on probation takes one task at a time.
-            known, unusable = unusable, self._ejector.unusable(now=now)
-            if unusable != known:
+            ejected = self._ejector.unusable(now=now)
+            if ejected != unusable:
+                unusable = ejected
                 usable = [host for host in open_hosts if host.id not in unusable]
             found = self._place(step, usable, now)
             ordered += sum(isinstance(order, StartOrder) for order in found)
@@ -326,7 +327,7 @@
         placed = self._find_hosts(step, allowed, now)
         if placed:
             self.holds.drop(step)
-        elif self._may_take_room(step, allowed, open_hosts):
+        elif self._may_make_room(step, allowed, open_hosts):
             self._make_room(step, allowed, now)
         orders: list[Order] = []
         if placed or advice is not None:
@@ -340,14 +341,14 @@
             self.waiting.discard(step)
         return orders
 
-    def _may_take_room(self, step: Step, allowed: list[Host], open_hosts: list[Host]) -> bool:
+    def _may_make_room(self, step: Step, allowed: list[Host], open_hosts: list[Host]) -> bool:
         """Tell whether others may give way to a step that has found no room.
 
         They do so only once it is known that no host with free room may be used.
         """
         if not allowed or self.waiting.urgency(step) is not Urgency.IN_TIME:
             return False
-        return bool(step.waiting()) and not room_to_ask_for(step, open_hosts)
+        return bool(step.waiting()) and not has_unasked_room(step, open_hosts)
 
     def _find_hosts(self, step: Step, allowed: list[Host], now: float) -> list[Placed]:
         if not self.holds or step not in self.waiting:
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -22,10 +22,10 @@
 
 def could_run(step: Step, host: Host) -> bool:
     """Tell whether a host of the right pool could ever hold a task of the step."""
-    return bool(that_could_run(step, (host,)))
+    return bool(eligible_hosts(step, (host,)))
 
 
-def that_could_run(step: Step, hosts: Iterable[Host]) -> list[Host]:
+def eligible_hosts(step: Step, hosts: Iterable[Host]) -> list[Host]:
     """Return the hosts of the right pool that could ever hold a task of the step."""
     need = step.req.room
     label = step.req.required_label
@@ -71,7 +71,7 @@
     """
     need = step.req.room
     with_room = [host for host in hosts if need.fits(host.room)]
-    fitting = [host for host in that_could_run(step, with_room) if host.takes_tasks(now)]
+    fitting = [host for host in eligible_hosts(step, with_room) if host.takes_tasks(now)]
     if not fitting:
         return []
     open_hosts = [(host, slots_on(step, host, _left(host, kept))) for host in fitting]
--- a/rhubarbferry/dispatch/questions.py
+++ b/rhubarbferry/dispatch/questions.py
@@ -8,7 +8,7 @@
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Step
 from rhubarbferry.dispatch.messages import AdviceOrder
-from rhubarbferry.dispatch.placement import that_could_run
+from rhubarbferry.dispatch.placement import eligible_hosts
 from rhubarbferry.dispatch.question_size import hosts_to_name
 
 # One question names at most this many hosts; the policy service refuses longer ones.
@@ -51,21 +51,21 @@
     return AdviceOrder(step=step.id, hosts=asked, cost=cost)
 
 
-def room_to_ask_for(step: Step, open_hosts: Iterable[Host]) -> bool:
+def has_unasked_room(step: Step, open_hosts: Iterable[Host]) -> bool:
     """Tell whether a host that nobody has asked about for a step has room for a task of it."""
     if step.job.queue.advice is None:
         return False
     need = step.req.room
     unknown = step.approvals.unknown
     free = [host for host in open_hosts if need.fits(host.room) and unknown(host.id)]
-    return bool(that_could_run(step, free))
+    return bool(eligible_hosts(step, free))
 
 
 def _not_asked_about(step: Step, open_hosts: Sequence[Host], share: float) -> list[str]:
     approvals = step.approvals
     unknown = [host for host in open_hosts if approvals.unknown(host.id)]
     approved = [host for host in open_hosts if host.id in approvals.approved]
-    return [host.id for host in hosts_to_name(step, that_could_run(step, unknown), approved, share)]
+    return [host.id for host in hosts_to_name(step, eligible_hosts(step, unknown), approved, share)]
 
 
 def _held_without_ticket(
