Divide a long question among free processes

Cause: a question about 100 hosts takes 1.17 s for the widest queue, of which 0.69 s are for the hosts, and a step that 100 hosts are not enough for asked again when the answer had come: five times at 501 hosts. Meanwhile 89 of 97 processes ask nothing (8 calls at a time, worked out from 350 starts a second).

Now the desk makes several calls of one question: at most 100 hosts in each, and where processes are free as many calls as keep the time for the hosts at half of the fixed time, on at most half of the free ones. A step is looked at again with each part that is answered.

The new tests fail on the code before.

--- a/rhubarbferry/cell/advice_desk.py
+++ b/rhubarbferry/cell/advice_desk.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Collection
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from rhubarbferry.cell.members import Member
 from rhubarbferry.dispatch.messages import AdviceOrder
+from rhubarbferry.dispatch.questions import HOSTS_PER_CALL
 
 # A question that takes longer than this counts as long. The policy service serves the questions
 # of one process one after the other, so a short question behind a long one waits for nearly a
 # second and its job misses its objective.
 LONG_S = 0.3
+# A long question is divided until the time for its hosts is this share of the time that any answer
+# takes. Smaller parts make the answer hardly earlier, and each is work for the policy service.
+HOSTS_TIME_SHARE = 0.5
+# Of the processes that are free for long questions, at most this share asks about one step.
+FREE_SHARE = 0.5
 
 
 @frozen(kw_only=True, slots=True)
@@ -38,8 +45,9 @@
 class AdviceDesk:
     """Questions that wait, and the processes that are asking one.
 
-    Each process asks one question at a time. Long questions use at most half of the processes,
-    from the far end of a fixed order; short ones use the rest first.
+    Each process makes one call at a time. Long questions use at most half of the processes, from
+    the far end of a fixed order; short ones use the rest first. Where processes are free, a long
+    question is divided among some of them, as its answer takes longer with each host.
 
     :param own: the process that this desk is in: it asks without a hop.
     """
@@ -55,8 +63,10 @@
     def add(self, order: AdviceOrder, *, priority: int) -> None:
         """Add a question; those of a lower ``priority`` number go first."""
         self._count += 1
-        question = _Question(priority=priority, number=self._count, order=order)
-        heapq.heappush(self._long if _is_long(order) else self._short, question)
+        self._put(_Question(priority=priority, number=self._count, order=order))
+
+    def _put(self, question: _Question) -> None:
+        heapq.heappush(self._long if _is_long(question.order) else self._short, question)
 
     def done(self, member: str) -> None:
         """Note that a process has its answer, or none will come."""
@@ -76,11 +86,16 @@
             long = self._takes_long(most_long)
             if not long and not self._short:
                 break
-            order = heapq.heappop(self._long if long else self._short).order
-            member = free.pop() if long else free.popleft()
-            self._long_asked += long
-            self._busy[member.name] = order
-            assigned.append(Assignment(member=member, order=order))
+            question = heapq.heappop(self._long if long else self._short)
+            room = min(len(free), most_long - self._long_asked) if long else 1
+            parts = _parts(question.order, room)
+            for part in parts[:room]:
+                member = free.pop() if long else free.popleft()
+                self._long_asked += _is_long(part)
+                self._busy[member.name] = part
+                assigned.append(Assignment(member=member, order=part))
+            for part in parts[room:]:
+                self._put(evolve(question, order=part))
         return assigned
 
     def _takes_long(self, most: int) -> bool:
@@ -97,3 +112,21 @@
 
 def _is_long(order: AdviceOrder) -> bool:
     return order.cost.duration_s(len(order.hosts)) > LONG_S
+
+
+def _parts(order: AdviceOrder, room: int) -> list[AdviceOrder]:
+    """Divide a question among processes.
+
+    :param room: how many processes are free for it.
+    """
+    hosts = len(order.hosts)
+    fewest = math.ceil(hosts / HOSTS_PER_CALL)
+    count = fewest
+    if _is_long(order):
+        share_s = max(order.cost.decision_s * HOSTS_TIME_SHARE, order.cost.per_host_s)
+        useful = math.ceil(hosts * order.cost.per_host_s / share_s)
+        count = max(fewest, min(useful, int(room * FREE_SHARE)))
+    size = math.ceil(hosts / count)
+    return [
+        evolve(order, hosts=order.hosts[start : start + size]) for start in range(0, hosts, size)
+    ]
--- a/rhubarbferry/dispatch/questions.py
+++ b/rhubarbferry/dispatch/questions.py
@@ -11,8 +11,9 @@
 from rhubarbferry.dispatch.placement import eligible_hosts
 from rhubarbferry.dispatch.question_size import hosts_to_name
 
-# One question names at most this many hosts; the policy service refuses longer ones.
-HOSTS_PER_QUESTION = 100
+# One call names at most this many hosts; the policy service refuses longer ones. A question about
+# more is asked in several calls.
+HOSTS_PER_CALL = 100
 # After a question that got no answer, before the next one for the same step.
 QUESTION_PAUSE_S = 0.3
 
@@ -46,9 +47,8 @@
         wanted = _not_asked_about(step, open_hosts, share)
     if not wanted:
         return None
-    asked = tuple(wanted[:HOSTS_PER_QUESTION])
-    approvals.asking.update(asked)
-    return AdviceOrder(step=step.id, hosts=asked, cost=cost)
+    approvals.asking.update(wanted)
+    return AdviceOrder(step=step.id, hosts=tuple(wanted), cost=cost)
 
 
 def has_unasked_room(step: Step, open_hosts: Iterable[Host]) -> bool:
--- a/tests/cell/test_advice_desk.py
+++ b/tests/cell/test_advice_desk.py
@@ -97,3 +97,43 @@
     looked_at.clear()
     assert assigned(desk) == []
     assert looked_at == []
+
+
+def slow(hosts: int) -> AdviceOrder:
+    """A question whose answer takes 0.5 s, and 0.01 s for each host."""
+    cost = AdviceCost(decision_s=0.5, per_host_s=0.01, valid_s=5.0)
+    ids = tuple(f"h{index}" for index in range(hosts))
+    return AdviceOrder(step=StepId(job="slow", occurrence=0, step=0), hosts=ids, cost=cost)
+
+
+PARTS = {
+    "few hosts are asked about in one call": (16, 25, [25]),
+    "many are divided while processes are free": (16, 75, [25, 25, 25]),
+    "half of the free processes stay free for others": (8, 100, [50, 50]),
+    "one free process makes one call": (2, 75, [75]),
+    "a call names no more than the policy service takes": (4, 150, [75, 75]),
+    "what is too much for the free processes waits": (2, 150, [75]),
+}
+
+
+@pytest.mark.parametrize(("processes", "hosts", "sizes"), PARTS.values(), ids=PARTS.keys())
+def test_a_long_question_is_divided_among_free_processes(processes, hosts, sizes):
+    """Guards against wide jobs that start late since one call after the other is made for them."""
+    desk = AdviceDesk(own="own", region="region")
+    desk.add(slow(hosts), priority=0)
+    assignments = desk.assign([member(f"m{index}") for index in range(processes)])
+    assert [len(item.order.hosts) for item in assignments] == sizes
+    asked = [id for item in assignments for id in item.order.hosts]
+    assert asked == list(slow(hosts).hosts[: len(asked)])
+
+
+def test_all_parts_of_a_question_are_asked_in_the_end():
+    """Guards against hosts that a step waits for and nobody is asked about."""
+    desk = AdviceDesk(own="own", region="region")
+    desk.add(slow(250), priority=0)
+    asked: list[str] = []
+    while found := desk.assign([member("one"), member("two")]):
+        for item in found:
+            asked += item.order.hosts
+            desk.done(item.member.name)
+    assert sorted(asked) == sorted(slow(250).hosts)
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 import pytest
+from attrs import evolve
 
 from rhubarbferry.dispatch.messages import (
     Advice,
@@ -14,7 +15,7 @@
     Queue,
     StartOrder,
 )
-from rhubarbferry.dispatch.questions import HOSTS_PER_QUESTION
+from rhubarbferry.dispatch.questions import HOSTS_PER_CALL
 
 from .world import World, job, step
 
@@ -39,7 +40,9 @@
 
     def ask(self, order: AdviceOrder) -> None:
         self.questions += 1
-        self.asked.append((self.world.now + self.answer_s, order))
+        for start in range(0, len(order.hosts), HOSTS_PER_CALL):
+            part = evolve(order, hosts=order.hosts[start : start + HOSTS_PER_CALL])
+            self.asked.append((self.world.now + self.answer_s, part))
 
     def play(self, until: float, *, to_add: Sequence[str] = ()) -> list[StartOrder]:
         """Answer questions until something starts; add a host each time that none is open."""
@@ -89,9 +92,9 @@
 
 
 @pytest.mark.parametrize("answer_s", [0.5, 1.2])
-def test_a_gang_on_more_hosts_than_a_question_may_name_starts(answer_s):
+def test_a_gang_on_more_hosts_than_a_call_may_name_starts(answer_s):
     """Guards against questions that name hosts with good tickets and leave others out."""
-    hosts = [f"h{number:03}" for number in range(HOSTS_PER_QUESTION + 20)]
+    hosts = [f"h{number:03}" for number in range(HOSTS_PER_CALL + 20)]
     world = World(*hosts[:-1], millicores=8000)
     policy = Policy(world, answer_s=answer_s)
     world.add(job("gang", step(len(hosts), millicores=8000, gang=True), queue=QUEUE))
--- a/tests/dispatch/test_question_size.py
+++ b/tests/dispatch/test_question_size.py
@@ -21,7 +21,6 @@
     ApprovedShare,
     hosts_to_name,
 )
-from rhubarbferry.dispatch.questions import HOSTS_PER_QUESTION
 
 from .world import CORES, QUEUE, World, job, step
 
@@ -130,7 +129,7 @@
     while world.dispatcher.undecided:
         world.accept(*world.starts())
     world.add(job("j", step(1), queue=ADVISED))
-    assert len(question(world.decide(0.1)).hosts) == min(HOSTS, HOSTS_PER_QUESTION)
+    assert len(question(world.decide(0.1)).hosts) == HOSTS
 
 
 def test_a_share_is_learnt_from_verdicts():
