--- /dev/null
+++ b/tests/cell/test_wide_steps.py
@@ -0,0 +1,95 @@
+"""A wide gang in a cell of hundreds of hosts that are half in use: who waits for which answer."""
+
+from __future__ import annotations
+
+import zlib
+
+import pytest
+from attrs import evolve
+
+from rhubarbferry.cell.advice_desk import AdviceDesk
+from rhubarbferry.dispatch.messages import (
+    Advice,
+    AdviceCost,
+    AdviceOrder,
+    Approval,
+    StartOrder,
+)
+from tests.dispatch.world import CORES, QUEUE, World, job, step
+
+from .parts import member
+
+HOSTS = 500
+HOST_CORES = 64
+LOOK_S = 0.02
+APPROVED_OF_100 = 25
+COST = AdviceCost(decision_s=0.48, per_host_s=0.0069, valid_s=1.5)
+ADVISED = evolve(QUEUE, name="advised", advice=COST)
+# A call about 30 hosts, which is what users count with, and half as long again.
+STARTS_WITHIN_S = 1.5 * COST.duration_s(30)
+
+
+def half_used_cell() -> World:
+    hosts = [f"h{index:03}" for index in range(HOSTS)]
+    world = World(*hosts, millicores=HOST_CORES * CORES)
+    half = step(HOSTS, millicores=HOST_CORES * CORES // 2, estimate=600.0, max_per_host=1)
+    world.add(job("half", half))
+    placed = world.starts()
+    while world.dispatcher.undecided:
+        placed += world.starts()
+    world.accept(*placed)
+    world.deliver_reports()
+    return world
+
+
+def approves(host: str) -> bool:
+    return zlib.crc32(host.encode()) % 100 < APPROVED_OF_100
+
+
+def answer(world: World, order: AdviceOrder) -> None:
+    approvals = tuple(Approval(host=id, ticket="t") for id in order.hosts if approves(id))
+    advice = Advice(
+        step=order.step,
+        asked=order.hosts,
+        approvals=approvals,
+        answered_at=world.now,
+        valid_s=COST.valid_s,
+    )
+    world.dispatcher.advised(advice, now=world.now)
+
+
+def wait_for_starts(world: World, *, processes: int, until: float) -> list[StartOrder]:
+    """Play the processes that ask the policy service until something starts."""
+    members = [member(f"m{index}") for index in range(processes)]
+    desk = AdviceDesk(own="m0", region="region")
+    under_way: list[tuple[float, str, AdviceOrder]] = []
+    while world.now < until:
+        world.deliver_reports()
+        for entry in [entry for entry in under_way if entry[0] <= world.now]:
+            under_way.remove(entry)
+            desk.done(entry[1])
+            answer(world, entry[2])
+        orders = world.decide(LOOK_S)
+        started = [order for order in orders if isinstance(order, StartOrder)]
+        if started:
+            return started
+        for order in orders:
+            if isinstance(order, AdviceOrder):
+                desk.add(order, priority=0)
+        for item in desk.assign(members):
+            answered_at = world.now + COST.duration_s(len(item.order.hosts))
+            under_way.append((answered_at, item.member.name, item.order))
+    return []
+
+
+@pytest.mark.parametrize("width", [5, 20, 58])
+def test_a_wide_gang_starts_about_as_soon_as_a_narrow_one(width):
+    """Guards against a gang for which the policy service is asked five times, one after the other.
+
+    Each host has room for one of its tasks, and one host in four may run them.
+    """
+    world = half_used_cell()
+    req = step(width, millicores=26 * CORES, gang=True)
+    world.add(job("wide", req, queue=ADVISED))
+    started = wait_for_starts(world, processes=97, until=world.now + STARTS_WITHIN_S)
+    assert len(started) == width
