--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -71,3 +71,17 @@
     for number in range(10):
         failing("abc", id=f"h{number}", ejector=made)
     assert made.ejected() == 3
+
+
+@pytest.mark.parametrize("now", [0.5, 3.0, 6.9, 7.0, 7.5])
+@pytest.mark.parametrize("probed", [False, True])
+def test_the_hosts_that_are_out_of_use_are_those_that_may_not_get_work(
+    now: float, probed: bool
+) -> None:
+    """Guards against an ejected host that gets work since two ways of asking differ."""
+    made = failing("abc", id="ejected")
+    made.failed("failed once", "a", now=0.0, hosts=10)
+    if probed:
+        made.started("ejected", "probe", now=7.0)
+    hosts = ("ejected", "failed once", "unknown")
+    assert made.unusable(now=now) == {id for id in hosts if not made.usable(id, now=now)}
