--- a/tests/dispatch/test_question_size.py
+++ b/tests/dispatch/test_question_size.py
@@ -60,7 +60,7 @@
     world = World(*(f"h{index:02}" for index in range(HOSTS)))
     counts = [len(named(world, step(8, gang=True), share)) for share in (0.9, 0.5, 0.25)]
     assert counts == sorted(set(counts))
-    # With 7 approved of 20 on average, one host that holds the step is all but certain.
+    # The step fits on one host, so a few approved ones are enough.
     assert counts[-1] < HOSTS / 2
 
 
