--- a/rhubarbferry/serving/server.py
+++ b/rhubarbferry/serving/server.py
@@ -31,7 +31,7 @@
     async def main_loop(self) -> None:
         """Wait until the server is stopped.
 
-        That of uvicorn looks ten times a second, which is most of what an idle process does.
+        That of uvicorn wakes up ten times a second to see whether it is to stop.
         """
         date_s = DATE_S if self.config.date_header else None
         while not await self.on_tick(0):
--- a/tests/on_platform/test_idle_server.py
+++ b/tests/on_platform/test_idle_server.py
@@ -24,7 +24,7 @@
 
 @pytest.mark.parametrize("date_header", [False, True])
 async def test_an_idle_server_does_not_wake_up_to_see_whether_to_stop(date_header):
-    """Guards against processes that spend most of their processor time on nothing."""
+    """Guards against idle processes that wake up ten times a second for each of their servers."""
     config = uvicorn.Config(
         None,
         port=0,
