Keep a run that a restarted host has answered and not yet reported

Seen by callers: a task that runs on two hosts at once.

Cause: a start that was answered counted as the former incarnation's when the host list showed a restart. Orders name a host by its id, a host may restart under its id, and an answer does not tell the incarnation, so the new one may have started the task. The run was ended here and started on another host. In the same way an answer that arrived after the restart was noticed put a time of the former clock on the run.

Ruled out: that the platform refuses the order. Its contract compares the id, and a deadline on the former clock lies in the new clock's future.

Change: a run is the former incarnation's if one of its reports listed it. Otherwise a report of the new incarnation decides, which must have been sent after the restart was noticed; a late answer to an order for a former incarnation decides nothing.

--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -62,6 +62,7 @@
     :param leases_until_s: time on its clock until which task leases have been requested.
     :param seen_end: number of the last end that has been processed.
     :param recorded_end: number of the last end whose effect has been written to the store.
+    :param restarted_at: when its last restart under the same id was noticed.
     :param last_report_at: when its last report arrived.
     :param blocked_until: it receives no new tasks before this time.
     :param leaves_at: earliest time at which it may leave, while it is draining. It is the minimum
@@ -81,6 +82,7 @@
     leases_until_s: float = 0.0
     seen_end: int = 0
     recorded_end: int = 0
+    restarted_at: float = float("-inf")
     last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -68,6 +68,7 @@
     :param pace_sent_at: when the last pace order was sent.
     :param order: last start order that was sent; ``None`` for an adopted run.
     :param unanswered: whether any copy of the start order was sent and not answered.
+    :param listed: whether a report of the host's current incarnation has listed it.
     """
 
     task: Task
@@ -85,6 +86,7 @@
     pace_sent_at: float = -math.inf
     order: StartOrder | None = None
     unanswered: bool = False
+    listed: bool = False
 
     def remaining_s(self, now: float) -> float:
         """Return the estimated remaining time; 0 for a run that is being stopped."""
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -97,7 +97,7 @@
             return []
         events = []
         if entry.incarnation > host.entry.incarnation:
-            events = self._handle_restart(host, entry)
+            events = self._handle_restart(host, entry, now)
         elif entry.incarnation == host.entry.incarnation and entry != host.entry:
             host.entry = entry
             self.changed.add(entry.id)
@@ -118,17 +118,22 @@
             for run in list(host.runs.values())
         ]
 
-    def _handle_restart(self, host: Host, entry: HostEntry) -> list[RunEvent]:
+    def _handle_restart(self, host: Host, entry: HostEntry, now: float) -> list[RunEvent]:
         events: list[RunEvent] = []
         for run in list(host.runs.values()):
-            confirmed = run.phase is RunPhase.RUNNING and not run.unanswered
-            if confirmed or run.phase is RunPhase.RESERVED:
+            if run.phase is RunPhase.RESERVED or (run.listed and not run.unanswered):
                 events.append(self._end_run(host, run, EndKind.LAPSED, "the host started anew"))
                 continue
+            answered = run.phase is RunPhase.RUNNING and not run.unanswered
+            run.phase = RunPhase.UNCLEAR
+            run.listed = False
+            if answered:
+                # Either incarnation may have answered. The next report shows which one.
+                run.deadline_s = -math.inf
+                continue
             # The new incarnation may carry out the order as well, and its clock starts again, so
             # the deadline does not protect against that. Only a stop that the new incarnation has
             # confirmed rules it out.
-            run.phase = RunPhase.UNCLEAR
             run.deadline_s = math.inf
             self.stop(run, "its host started anew")
         host.entry = entry
@@ -137,6 +142,7 @@
         host.adopted = False
         host.seen_end = host.recorded_end = 0
         host.leases_until_s = 0.0
+        host.restarted_at = now
         self.changed.add(host.id)
         return events
 
@@ -152,7 +158,7 @@
                 return []
             # The host has restarted and its entry in the host list is not up to date yet.
             entry = evolve(host.entry, incarnation=report.incarnation)
-            events += self._handle_restart(host, entry)
+            events += self._handle_restart(host, entry, now)
         if host.clock is not None and report.clock_s < host.clock.clock_s:
             # A later report has already arrived over another connection.
             return events
@@ -168,7 +174,10 @@
         host.unknown_runs = {key: at for key, at in host.unknown_runs.items() if key in listed}
         for running in report.running:
             events += self._handle_running(host, running, report, now)
-        events += self._end_unlisted(host, report, listed, now)
+        if sent_at >= host.restarted_at:
+            # A call sent earlier may have been answered before the host started a task that this
+            # owner already counts as running there.
+            events += self._end_unlisted(host, report, listed, now)
         return events
 
     def _handle_end(self, host: Host, ended: EndedTask) -> list[RunEvent]:
@@ -191,6 +200,7 @@
         if run.phase is not RunPhase.RUNNING:
             run.phase = RunPhase.RUNNING
             run.progress_at = now
+        run.listed = True
         run.deadline_s = report.clock_s
         run.tail_latency_s = running.tail_latency_s
         if running.percent > run.percent or running.percent < run.percent:
@@ -220,6 +230,7 @@
             percent=running.percent,
             progress_at=now,
             tail_latency_s=running.tail_latency_s,
+            listed=True,
         )
         host.add(run)
         task.attempt = max(task.attempt, running.attempt)
@@ -282,6 +293,9 @@
         if host.runs.get((run.task.id, run.attempt)) is not run:
             return []
         match result:
+            case Started() if _sent_to_earlier_incarnation(run, host):
+                # It is not known which incarnation answered; the stop sent to the new one decides.
+                return []
             case Started(clock_s=clock_s):
                 if run.phase is not RunPhase.RUNNING:
                     run.phase = RunPhase.RUNNING
@@ -463,3 +477,7 @@
         if checkpoint and not task.done:
             task.checkpoint = checkpoint
         return RunEnded(task=task, attempt=run.attempt, how=how, host=host.id, detail=detail)
+
+
+def _sent_to_earlier_incarnation(run: Run, host: Host) -> bool:
+    return run.order is not None and run.order.incarnation != host.entry.incarnation
--- a/tests/dispatch/test_retries.py
+++ b/tests/dispatch/test_retries.py
@@ -136,3 +136,39 @@
     world.answer(order, Started(clock_s=world.now + 100.0))
     world.answer(again, Refused(reason=Refusal.OLD_ATTEMPT))
     assert run_of(world, order).phase is RunPhase.RUNNING
+
+
+def test_a_late_answer_of_a_former_incarnation_does_not_settle_a_start():
+    """Guards against a run that never ends because its last known time is on a former clock."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    part = world.hosts[order.host]
+    part.incarnation = 2
+    part.clock_offset = -world.now
+    world.deliver_reports()
+    world.answer(order, Started(clock_s=world.now + 100.0))
+    (stop,) = world.decide(0.1)
+    world.dispatcher.stop_answered(stop.host, stop.task, stop.attempt, 0.1)
+    world.now += 0.1
+    world.deliver_reports()
+    assert [item.task for item in world.starts()] == [order.task]
+
+
+def test_a_report_sent_before_a_restart_was_noticed_ends_no_answered_run():
+    """Guards against ending a run that the new incarnation has started after its report."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    part = world.hosts[order.host]
+    part.incarnation = 2
+    part.clock_offset = -world.now
+    before = world.now
+    report = part.report(world.now)
+    world.now += 0.2
+    world.accept(order)
+    world.dispatcher.handle_report(part.id, report, sent_at=before, now=world.now)
+    assert world.starts(0.1) == []
+    world.deliver_reports()
+    assert run_of(world, order).phase is RunPhase.RUNNING
+    assert not run_of(world, order).stopping
