--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import nullcontext
+
+import pytest
+
+from rhubarbferry.dispatch.messages import EndKind
+
+from .host_model import InvariantViolated
 from .test_dispatcher_machine import HOSTS, QUEUES, DispatcherMachine
 
 URGENT = QUEUES[0]
@@ -26,3 +33,43 @@
     found.lose_reports(host=0)
     found.advance(ticks=2)
     found.teardown()
+
+
+def test_run_whose_end_was_lost_with_its_host_is_repeated():
+    """Guards against a task that is neither finished nor started again after its host's crash."""
+    found = machine()
+    submit(found, 1, 1)
+    found.advance(ticks=1)
+    found.end_run(pick=0, how=EndKind.DONE)
+    found.crash(host=0, restart=False)
+    found.teardown()
+
+
+@pytest.mark.parametrize(
+    ("forgotten", "raises"),
+    [
+        pytest.param(None, True, id="the host still lists the first end"),
+        pytest.param("crash", False, id="the host has crashed"),
+        pytest.param("restart", False, id="the host has restarted"),
+    ],
+)
+def test_oracle_rejects_a_repeated_task_unless_its_end_was_forgotten(forgotten, raises):
+    """Guards the oracle: only a crash of its host excuses a start after an end."""
+    found = machine()
+    submit(found, 1)
+    found.advance(ticks=1)
+    ((first, (task, attempt)),) = [
+        (host, run) for host in found.oracle.hosts.values() for run in host.running
+    ]
+    other = next(host for host in found.oracle.hosts.values() if host is not first)
+    first.end((task, attempt), EndKind.DONE)
+    match forgotten:
+        case "crash":
+            first.down = True
+        case "restart":
+            first.restart()
+    other.running[(task, attempt + 1)] = other.clock_s
+    found.oracle.started(other, task)
+    other.end((task, attempt + 1), EndKind.DONE)
+    with pytest.raises(InvariantViolated) if raises else nullcontext():
+        other.poll(found.fence, None, other.end_count)
