Credit no call to an incarnation of a host that may not have answered it

Callers would see a task repeated after it had ended, or not ended at all.

Cause: a poll acknowledged ends by the numbers of the former incarnation; a new one numbers from 1 and forgets ends that no process has read. And a stop that the former incarnation had answered counted for the new one.

Change: after a failed poll nothing is acknowledged until a later poll is answered; a stop counts if no restart was noticed while it was under way.

--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -78,11 +78,12 @@
         # The host reports ends after `acknowledged_to` at once, so waiting has no effect while some
         # of them are not recorded. The first poll only reads the host's clock.
         host.poll_wait_s = self.poll_wait_s()
-        no_wait = no_wait or deadline_s is None or host.seen_end > host.recorded_end
+        acknowledged_to = host.acknowledgeable_end
+        no_wait = no_wait or deadline_s is None or host.seen_end > acknowledged_to
         req = TaskLeaseRequest(
             fence=ctx.tenure.fence,
             deadline_s=deadline_s,
-            acknowledged_to=host.recorded_end,
+            acknowledged_to=acknowledged_to,
             wait_s=0.0 if no_wait else host.poll_wait_s,
             response_margin_s=RESPONSE_MARGIN_S if host.adopted else FIRST_RESPONSE_MARGIN_S,
         )
@@ -97,12 +98,15 @@
             ctx.wake.set()
             return False
         except WorkerError as exc:
+            host.poll_failed_at = ctx.now()
             ctx.process.log.emit("host.silent", host=self.id, reason=str(exc)[:200])
             return False
         if host.entry.incarnation != entry.incarnation and (
             report.incarnation != host.entry.incarnation
         ):
             return True
+        if sent_at >= host.poll_failed_at:
+            host.poll_failed_at = float("-inf")
         was_adopted = host.adopted
         ctx.dispatcher.handle_report(self.id, report, sent_at=sent_at, now=ctx.now())
         if not was_adopted:
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -137,10 +137,16 @@
         host = self._find_host(order)
         if host is None:
             return
+        incarnation = host.entry.incarnation
         with self._log_failures(order, self.log.stop):
             clock_s = await self.ctx.process.workers.stop(
                 host.entry, order, fence=self.ctx.tenure.fence
             )
+            if host.entry.incarnation != incarnation:
+                # The former incarnation may have answered, and only the new one's word counts. The
+                # order is repeated with the next report.
+                self.log.stop(order, outcome="answered before the host's restart was noticed")
+                return
             self.log.stop(order, outcome="taken")
             self.ctx.dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
 
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -63,6 +63,7 @@
     :param seen_end: number of the last end that has been processed.
     :param recorded_end: number of the last end whose effect has been written to the store.
     :param restarted_at: when its last restart under the same id was noticed.
+    :param poll_failed_at: when a poll last failed; ``-inf`` once a later one has been answered.
     :param last_report_at: when its last report arrived.
     :param blocked_until: it receives no new tasks before this time.
     :param leaves_at: earliest time at which it may leave, while it is draining. It is the minimum
@@ -83,6 +84,7 @@
     seen_end: int = 0
     recorded_end: int = 0
     restarted_at: float = float("-inf")
+    poll_failed_at: float = float("-inf")
     last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
@@ -111,6 +113,15 @@
             self._room = capacity.minus(self.used)
         return self._room
 
+    @property
+    def acknowledgeable_end(self) -> int:
+        """The number of the last end that it may forget.
+
+        A host that has restarted under its id numbers its ends from 1 again, and would forget new
+        ones that no process has read.
+        """
+        return 0 if self.poll_failed_at > float("-inf") else self.recorded_end
+
     @property
     def silence_timeout_s(self) -> float:
         """Time without an answer after which the host is silent.
