--- a/tests/cell/test_restarted_hosts.py
+++ b/tests/cell/test_restarted_hosts.py
@@ -106,7 +106,7 @@
     ],
 )
 async def test_a_stop_counts_only_for_the_incarnation_that_answered(incarnation, counted):
-    """Guards against a stop by a former incarnation that is taken for one by the new incarnation."""
+    """Guards against counting a stop by a former incarnation for the new one."""
     host = Host(entry=ENTRY, adopted=True)
     stopped: list[float] = []
     workers = ScriptedHost(host=host, incarnations=[incarnation])
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -1,4 +1,4 @@
-"""Step lists on which the dispatcher's state machine once failed, each about a host that crashes."""
+"""Step lists with crashing hosts on which the state machine of the dispatcher once failed."""
 
 from __future__ import annotations
 
