Log how long the owner's lease and the load of its jobs took

Nothing told whether an extension of the lease was late, unanswered or not sent, nor how long a new owner reads and applies the stored jobs. `lease.lost` now gives the ages of the last extension sent and answered and the number of open ones, `lease.extended_late` each slow one, `jobs.read` the size and the times of a load.

--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -74,13 +74,25 @@
         store = self.ctx.process.store
         # An earlier attempt may have received only one of the two listings.
         self._watcher.restart()
+        started_at = self.ctx.now()
         stored, listing = await asyncio.gather(
             store.list(keys.STATES), self._watcher.next(WATCH_WAIT_S)
         )
         assert isinstance(listing, Listing)
+        read_at = self.ctx.now()
         states = {item.key.removeprefix(keys.STATES): item for item in stored.items}
         await self._apply_listing(listing, states)
         self.loaded = True
+        self.ctx.process.log.emit(
+            "jobs.read",
+            fence=self.ctx.tenure.fence,
+            records=len(listing.items),
+            states=len(stored.items),
+            bytes=sum(len(item.value) for item in (*listing.items, *stored.items)),
+            read_s=round(read_at - started_at, 3),
+            transfer_s=round(max(listing.transfer_s, stored.transfer_s), 3),
+            applied_s=round(self.ctx.now() - read_at, 3),
+        )
 
     async def run(self) -> None:
         """Watch the store until cancelled.
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -19,6 +19,8 @@
 # by 2 %.
 CLOCK_MARGIN_S = 0.1
 GRANT_RETRY_INTERVAL_S = 0.2
+# A renewal that takes this long is logged.
+SLOW_RENEWAL_S = 0.5
 # The store counts as responsive for this long after an answer: the renewal interval plus the answer
 # time of a slow store.
 STORE_ANSWER_MAX_AGE_S = 0.5
@@ -41,6 +43,7 @@
     round_trip_s: float = 0.0
     granted: asyncio.Event = field(factory=asyncio.Event)
     _incarnation: int = 0
+    _sent_at: float = float("-inf")
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
     def valid_lease(self) -> Lease | None:
@@ -95,7 +98,7 @@
         self.log.emit("lease.granted", lease=id, outcome="store reached")
 
     async def _renew(self, lease: Lease) -> None:
-        sent_at = self.clock.monotonic()
+        sent_at = self._sent_at = self.clock.monotonic()
         try:
             ttl_s = await self.store.keep_alive(lease.id)
         except LeaseLost:
@@ -105,11 +108,22 @@
             self.log.emit("lease.not_extended", lease=lease.id, reason=str(exc))
         else:
             self.answered_at = self.clock.monotonic()
+            took_s = self.answered_at - sent_at
+            if took_s >= SLOW_RENEWAL_S:
+                self.log.emit("lease.extended_late", lease=lease.id, took_s=round(took_s, 3))
             if self.lease is not None and self.lease.id == lease.id:
                 self.lease = self.lease.renewed(asked_at=sent_at, ttl_s=ttl_s)
 
     def _discard(self, reason: str) -> None:
         assert self.lease is not None
-        self.log.emit("lease.lost", lease=self.lease.id, reason=reason)
+        now = self.clock.monotonic()
+        self.log.emit(
+            "lease.lost",
+            lease=self.lease.id,
+            reason=reason,
+            last_sent_ago_s=round(now - self._sent_at, 3),
+            last_answered_ago_s=round(now - self.answered_at, 3),
+            unanswered=len(self._renewals),
+        )
         self.lease = None
         self.granted.clear()
