Let an owner on a small host finish loading the jobs

The owner is loading 300 KB over a link of 2 Mbit/s, which takes 1.5 to 2.1 s and grows with the backlog, and its answers to pings wait behind that. A new owner was allowed four missed pings of 0.3 s, and the first one after a restart of all processes only two.

Ruled out: the processor (applying the jobs takes 0.3 to 0.6 s of it), and in this phase the extensions of the lease (last answered 0.0 to 0.3 s before its end).

Change: an answer to a ping says whether the owner is still loading. Until it has loaded, it may take 1 s for an answer, for as long as a load may take. An owner that is dead or frozen loses its lease after 1.5 s as before, and one that has loaded is found by pings as before. An owner that loads for more than 3 s passes the work on to a larger host only; to an equal one, which would begin anew, after 12 s.

Still seen: a lease that is not extended in time while the owner loads.

--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -30,6 +30,12 @@
     cores: float = 0.0
     link_mbps: float = 0.0
 
+    def has_larger_host(self, other: Member) -> bool:
+        """Return whether its host is larger than another's in one respect and in none smaller."""
+        own = (self.cores, self.link_mbps)
+        theirs = (other.cores, other.link_mbps)
+        return own != theirs and all(a >= b for a, b in zip(own, theirs, strict=True))
+
 
 @frozen(kw_only=True, slots=True)
 class Ownership:
--- a/rhubarbferry/cell/owner_calls.py
+++ b/rhubarbferry/cell/owner_calls.py
@@ -27,6 +27,11 @@
 class OwnerCalls(Protocol):
     """Queries and notifications that a term of ownership serves."""
 
+    @property
+    def loaded(self) -> bool:
+        """Whether all jobs in progress at the takeover have been read."""
+        ...
+
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         ...
--- a/rhubarbferry/cell/owner_monitor.py
+++ b/rhubarbferry/cell/owner_monitor.py
@@ -11,6 +11,7 @@
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member, Ownership, successors
 from rhubarbferry.cell.peers import PeerClient, PingResult
+from rhubarbferry.cell.term import MAX_LOAD_S
 from rhubarbferry.ports.clock import Clock
 
 # Interval between two pings of the owner.
@@ -22,9 +23,11 @@
 # The owner counts as unresponsive after this many consecutive unanswered pings. A single ping may
 # be lost with its connection.
 MAX_MISSED_PINGS = 2
-# An owner whose term started within this period may miss more pings.
-NEW_OWNER_PERIOD_S = 2.0
+# An owner that has not loaded the jobs yet may miss more and slower pings during this period. One
+# that has died or is frozen does not extend its lease, which ends earlier.
+NEW_OWNER_PERIOD_S = MAX_LOAD_S
 NEW_OWNER_MAX_MISSED_PINGS = 4
+NEW_OWNER_PING_TIMEOUT_S = 1.0
 # Number of processes that ping the owner: the first ones in the order of succession.
 MONITOR_COUNT = 3
 # Number of other members to ping, to check that it is not this process that is disconnected.
@@ -49,8 +52,9 @@
     view: CellView
     peers: PeerClient
     replace: Callable[[Ownership], Awaitable[bool]]
-    _fence: int = 0
+    _fence: int | None = None
     _changed_at: float = float("-inf")
+    _loaded: bool = False
     _monitors: list[str] = field(factory=list)
     _monitors_version: tuple[int, int] | None = None
 
@@ -78,21 +82,25 @@
 
     def record_owner(self, ownership: Ownership | None) -> None:
         """Record the time of a change of the owner."""
-        if ownership is None or ownership.fence == self._fence:
+        fence = 0 if ownership is None else ownership.fence
+        if fence == self._fence:
             return
-        if self._fence:
+        if fence and self._fence is not None:
             self._changed_at = self.clock.monotonic()
-        self._fence = ownership.fence
+        self._fence = fence
+        self._loaded = False
+
+    def _owner_is_new(self) -> bool:
+        return not self._loaded and self.clock.monotonic() - self._changed_at < NEW_OWNER_PERIOD_S
 
     def max_missed_pings(self) -> int:
         """Return after how many consecutive missed pings the owner counts as unresponsive.
 
-        A new owner reads the backlog and connects to all hosts. On a busy processor it answers
-        slowly meanwhile. If it were replaced for that, each new owner would be replaced in turn
-        and none would ever schedule a job.
+        A new owner reads the backlog and connects to all hosts. On a small host its processor and
+        its link are busy meanwhile, and it answers slowly. If it were replaced for that, each new
+        owner would be replaced in turn and none would ever schedule a job.
         """
-        is_new = self.clock.monotonic() - self._changed_at < NEW_OWNER_PERIOD_S
-        return NEW_OWNER_MAX_MISSED_PINGS if is_new else MAX_MISSED_PINGS
+        return NEW_OWNER_MAX_MISSED_PINGS if self._owner_is_new() else MAX_MISSED_PINGS
 
     async def _is_unresponsive(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped responding.
@@ -101,8 +109,10 @@
         """
         refused = unanswered = 0
         while refused < MAX_MISSED_PINGS and unanswered < self.max_missed_pings():
-            match await self._ping(ownership.owner):
-                case PingResult.ANSWERED:
+            timeout_s = NEW_OWNER_PING_TIMEOUT_S if self._owner_is_new() else PING_TIMEOUT_S
+            match await self.peers.ping(ownership.owner, timeout_s=timeout_s):
+                case PingResult.ANSWERED | PingResult.LOADING as result:
+                    self._loaded = result is PingResult.ANSWERED
                     await self.clock.sleep(PING_INTERVAL_S)
                     return False
                 case PingResult.REFUSED:
@@ -118,11 +128,10 @@
         others = [m for m in self.view.members.values() if m.name not in names][
             :CONNECTIVITY_PROBES
         ]
-        results = await asyncio.gather(*(self._ping(member) for member in others))
-        return not others or PingResult.ANSWERED in results
-
-    async def _ping(self, member: Member) -> PingResult:
-        return await self.peers.ping(member, timeout_s=PING_TIMEOUT_S)
+        results = await asyncio.gather(
+            *(self.peers.ping(member, timeout_s=PING_TIMEOUT_S) for member in others)
+        )
+        return not others or not {PingResult.ANSWERED, PingResult.LOADING}.isdisjoint(results)
 
     async def _replace(self, ownership: Ownership, position: int) -> None:
         await self.clock.sleep(position * ELECTION_STAGGER_S)
--- a/rhubarbferry/cell/peer_server.py
+++ b/rhubarbferry/cell/peer_server.py
@@ -92,7 +92,8 @@
         await self._server.close()
 
     async def _ping(self, req: PingRequest) -> PingReply:
-        return PingReply()
+        term = self._current_term()
+        return PingReply(loading=True if term is not None and not term.loaded else None)
 
     async def _store_reach(self, req: StoreReachRequest) -> StoreReachReply:
         return StoreReachReply(reached=await self._store_reached())
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -68,11 +68,13 @@
 class PingResult(Enum):
     """Result of a ping to another process.
 
-    REFUSED means that its host refused the connection, so that nothing listens at its address;
-    SILENT means that no reply arrived in time.
+    LOADING means that it answered as an owner that has not read all jobs yet. REFUSED means that
+    its host refused the connection, so that nothing listens at its address. SILENT means that no
+    reply arrived in time.
     """
 
     ANSWERED = auto()
+    LOADING = auto()
     REFUSED = auto()
     SILENT = auto()
 
@@ -181,12 +183,12 @@
         """Check that another process answers."""
         try:
             async with asyncio.timeout(timeout_s + self._extra_s()):
-                await self._call(member, "ping", PingRequest(), timeout_s=timeout_s)
+                reply = await self._call(member, "ping", PingRequest(), timeout_s=timeout_s)
         except PeerRefused:
             return PingResult.REFUSED
         except (RpcError, TimeoutError):
             return PingResult.SILENT
-        return PingResult.ANSWERED
+        return PingResult.LOADING if reply.loading else PingResult.ANSWERED
 
     async def submit(self, member: Member, record: JobRecord, *, timeout_s: float) -> Accepted:
         """Submit a job through another process."""
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -43,8 +43,13 @@
 # All waiting steps are re-evaluated at this interval, in case the event for a change was missed.
 STEP_RECHECK_INTERVAL_S = 1.0
 LOAD_RETRY_INTERVAL_S = 0.2
-# An owner that reaches the store and has still not loaded the jobs after this time hands them over.
+# An owner that reaches the store and has still not loaded the jobs after this time hands them over
+# to a process on a larger host.
 LOAD_TIMEOUT_S = 3.0
+# After this many times LOAD_TIMEOUT_S it hands them over to any other process. That process reads
+# the same backlog from the beginning, so an equal host should not do it sooner.
+LOAD_TIMEOUTS_ON_EQUAL_HOSTS = 4
+MAX_LOAD_S = LOAD_TIMEOUTS_ON_EQUAL_HOSTS * LOAD_TIMEOUT_S
 # Interval between two checks that the store still answers this process.
 STORE_CHECK_INTERVAL_S = 0.1
 # Once one process can take over, wait this long for a better one to answer: one round trip between
@@ -96,9 +101,14 @@
         self._log = DecisionLog(log=self.process.log)
         self._executor = OrderExecutor(ctx=self.ctx, log=self._log, spawn=self._spawn)
 
+    @property
+    def loaded(self) -> bool:
+        """Whether all jobs in progress at the takeover have been read."""
+        return self._job_watcher.loaded
+
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
-        if not self.tenure.holds() or not self._job_watcher.loaded:
+        if not self.tenure.holds() or not self.loaded:
             return None
         return self.ctx.dispatcher.count_pending(queue)
 
@@ -108,7 +118,7 @@
         A final phase is reported only once it is stored. Otherwise a client could see a job as
         complete and the next owner could run it again.
         """
-        if not self.tenure.holds() or not self._job_watcher.loaded:
+        if not self.tenure.holds() or not self.loaded:
             return None
         dispatcher = self.ctx.dispatcher
         job = dispatcher.jobs.get(id)
@@ -155,22 +165,32 @@
         would keep renewing its ownership meanwhile, and no job would start.
         """
         loading = asyncio.create_task(self._load())
+        timeouts = 0
         try:
             while not loading.done():
                 await asyncio.wait({loading}, timeout=LOAD_TIMEOUT_S)
+                timeouts += 1
                 if not loading.done() and self.process.keeper.store_reachable():
-                    await self._hand_over()
+                    await self._hand_over(
+                        to_equal_hosts=timeouts >= LOAD_TIMEOUTS_ON_EQUAL_HOSTS,
+                    )
                 self.tenure.check()
             await loading
         finally:
             loading.cancel()
             await asyncio.gather(loading, return_exceptions=True)
 
-    async def _hand_over(self) -> None:
-        member = await hand_over(self.process, self.tenure)
+    async def _hand_over(self, *, to_equal_hosts: bool) -> None:
+        own = self.process.own
+        member = await hand_over(
+            self.process,
+            self.tenure,
+            accepts=lambda other: to_equal_hosts or other.has_larger_host(own),
+        )
         if member is not None:
             self.overloaded = True
-            self.tenure.end(f"not loaded after {LOAD_TIMEOUT_S} s; passed on to {member.name}")
+            took_s = self.process.clock.monotonic() - self._took_over_at
+            self.tenure.end(f"not loaded after {took_s:.1f} s; passed on to {member.name}")
 
     async def _load(self) -> None:
         while True:
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -181,16 +181,19 @@
     """
     Attributes:
      - member_id
+     - loading
 
     """
 
     __slots__ = (
         'member_id',
+        'loading',
     )
 
 
-    def __init__(self, member_id=None,):
+    def __init__(self, member_id=None, loading=None,):
         self.member_id = member_id
+        self.loading = loading
 
 
 class StatusRequest(TBase):
@@ -2532,6 +2535,7 @@
 PingReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'member_id', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'loading', None, None, ),  # 2
 )
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -20,7 +20,11 @@
 }
 
 struct PingRequest { 1: optional string sender }
-struct PingReply { 1: optional string member_id }
+struct PingReply {
+  1: optional string member_id,
+  // Only from an owner of a cell: it has not read all jobs yet, and answers slowly meanwhile.
+  2: optional bool loading,
+}
 
 struct StatusRequest { 1: optional string sender }
 struct PartitionStatus {
--- a/tests/cell/test_owner_monitor.py
+++ b/tests/cell/test_owner_monitor.py
@@ -167,6 +167,53 @@
     assert cell.monitor.max_missed_pings() == MAX_MISSED_PINGS
 
 
+async def test_the_first_owner_after_a_vacancy_is_new():
+    """Guard against replacing the first owner after a restart of all processes while it loads."""
+    cell = Cell(peers=Peers(reaches={}))
+    cell.monitor.record_owner(None)
+    cell.monitor.record_owner(cell.view.ownership)
+    assert cell.monitor.max_missed_pings() == NEW_OWNER_MAX_MISSED_PINGS
+
+
+async def test_an_owner_that_has_loaded_the_jobs_is_not_new():
+    """Guard against a frozen owner that is kept because its term began not long ago."""
+    cell = Cell(peers=Peers(reaches={"owner": PingResult.ANSWERED, "other": PingResult.ANSWERED}))
+    cell.monitor.record_owner(None)
+    running = asyncio.create_task(cell.monitor.run())
+    await cell.peers.pinged_once.wait()
+    await asyncio.sleep(0)
+    cell.peers.reaches["owner"] = PingResult.SILENT
+    cell.peers.pinged.clear()
+    await asyncio.sleep(OUTCOME_S)
+    running.cancel()
+    assert cell.replaced == [FENCE]
+    assert cell.peers.pinged.count("owner") == MAX_MISSED_PINGS
+
+
+@define
+class SlowPeers(Peers):
+    """Fake of connections on which the owner's answers take a while."""
+
+    answer_s: float = 0.0
+
+    async def ping(self, member, *, timeout_s):
+        self.pinged.append(member.name)
+        if member.name != "owner":
+            return PingResult.ANSWERED
+        return self.reaches["owner"] if timeout_s >= self.answer_s else PingResult.SILENT
+
+
+@pytest.mark.parametrize(("is_new", "replaced"), [(True, []), (False, [FENCE])])
+async def test_a_new_owner_that_answers_slowly_is_not_replaced(is_new, replaced):
+    """Guard against an owner that is replaced while its link is busy with the jobs it loads."""
+    cell = Cell(peers=SlowPeers(reaches={"owner": PingResult.LOADING}, answer_s=0.7))
+    cell.monitor.record_owner(None if is_new else cell.view.ownership)
+    running = asyncio.create_task(cell.monitor.run())
+    await asyncio.sleep(OUTCOME_S)
+    running.cancel()
+    assert cell.replaced == replaced
+
+
 def registered(name: str) -> KeyPut:
     key = keys.MEMBERS + name
     value = encode_member(member(name))
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -91,6 +91,30 @@
     await asyncio.gather(running, return_exceptions=True)
 
 
+@pytest.mark.parametrize(
+    ("link_mbps", "asked"),
+    [
+        pytest.param({"b": 2.0, "c": 2.0}, [], id="equal hosts"),
+        pytest.param({"b": 2.0, "c": 20.0}, ["c"], id="one larger host"),
+        pytest.param({"b": 1.0, "c": 1.0}, [], id="smaller hosts"),
+    ],
+)
+async def test_a_long_load_is_passed_on_to_larger_hosts_first(monkeypatch, link_mbps, asked):
+    """Guard against equal hosts that pass a backlog on to each other and never load it."""
+    monkeypatch.setattr(term_module, "LOAD_TIMEOUT_S", LOAD_TIMEOUT_S)
+    peers = Peers(willing=set())
+    term = make_term(peers, store_reachable=True)
+    term.process.own = member("own", link_mbps=2.0)
+    term.process.view.members = {
+        name: member(name, link_mbps=mbps) for name, mbps in link_mbps.items()
+    }
+    running = asyncio.create_task(term.run())
+    await asyncio.sleep(1.5 * LOAD_TIMEOUT_S)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    assert peers.asked == asked
+
+
 # For each process the delay of its answer in seconds and whether it reaches the store; then the
 # chosen successor.
 ANSWERS = {
