Grant a longer lease to a process whose lease ran out during renewals

A configuration of 273 KB takes 1.5 s of a link of 2 Mbit/s, and the jobs that a new owner reads take 1 s and more; the answers to renewals arrive after them, and the lease is 1.5 s. The next term reads the jobs again.

Change: after a lease has run out in spite of its renewals, leases are granted for 4 s for the next 30 s. An owner still acts for at most 1.4 s after a renewal that was answered, so that its successor waits no longer than before. In between it pauses, keeps its term, and goes on with the next answer. A start that can't be sent meanwhile is given back.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -157,7 +157,7 @@
             term.tenure.end(f"handed over to {member.name}")
 
     async def _step(self) -> None:
-        lease = self.process.keeper.valid_lease()
+        lease = self.process.keeper.kept_lease()
         if lease is None:
             self._registered_lease_id = 0
             await self._wait_for_lease()
@@ -191,7 +191,7 @@
         """
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.process.keeper.granted.wait(), STORE_RETRY_INTERVAL_S)
-        if self.process.keeper.granted.is_set() and self.process.keeper.valid_lease() is None:
+        if self.process.keeper.granted.is_set() and self.process.keeper.kept_lease() is None:
             # The lease has expired, and its keeper has not noticed yet.
             await asyncio.sleep(EXPIRED_LEASE_POLL_INTERVAL_S)
 
--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -45,7 +45,9 @@
         """
         while (host := self.ctx.dispatcher.tracker.hosts.get(self.id)) is not None:
             self.ctx.tenure.check()
-            if not await self._poll(host):
+            if not self.ctx.tenure.holds():
+                await asyncio.sleep(POLL_RETRY_INTERVAL_S)
+            elif not await self._poll(host):
                 await asyncio.sleep(self._retry_interval_s(host))
             elif host.seen_end > host.recorded_end:
                 await asyncio.sleep(UNRECORDED_ENDS_PAUSE_S)
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -14,6 +14,11 @@
 # Short, because an owner that no process can ping is replaced only when its lease expires. Long
 # enough to survive a slow store and two lost renewals.
 LEASE_TTL_S = 1.5
+# Used for a while after a lease has expired in spite of its renewals. On a slow link their answers
+# wait behind other transfers, and a new owner that lost its lease while it reads the jobs would
+# have to read them again.
+LONG_LEASE_TTL_S = 4.0
+LONG_LEASE_PERIOD_S = 30.0
 RENEWAL_INTERVAL_S = 0.3
 # Subtracted from each lease period, because the clocks of this host and the store may drift apart
 # by 2 %.
@@ -44,9 +49,21 @@
     granted: asyncio.Event = field(factory=asyncio.Event)
     _incarnation: int = 0
     _sent_at: float = float("-inf")
+    _extended_at: float = float("-inf")
+    _long_leases_until: float = float("-inf")
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
     def valid_lease(self) -> Lease | None:
+        """Return the lease if an owner may act on it, else ``None``.
+
+        An owner may act for as long as a lease of the usual length holds, since its successor
+        waits no longer for its actions. With a long lease it may act again once a renewal has been
+        answered.
+        """
+        acts_until = self._extended_at + LEASE_TTL_S - CLOCK_MARGIN_S
+        return self.kept_lease() if self.clock.monotonic() < acts_until else None
+
+    def kept_lease(self) -> Lease | None:
         """Return the lease, ``None`` if it may have expired."""
         lease = self.lease
         return lease if lease is not None and lease.holds(self.clock.monotonic()) else None
@@ -61,6 +78,7 @@
             if self.lease is None:
                 await self._grant()
             elif not self.lease.holds(self.clock.monotonic()):
+                self._long_leases_until = self.clock.monotonic() + LONG_LEASE_PERIOD_S
                 self._discard("it was not extended in time")
             else:
                 # Renewals may overlap. If each waited for the one before, a renewal on a dead
@@ -78,8 +96,9 @@
 
     async def _grant(self) -> None:
         sent_at = self.clock.monotonic()
+        ttl_s = LONG_LEASE_TTL_S if sent_at < self._long_leases_until else LEASE_TTL_S
         try:
-            id = await self.store.grant_lease(LEASE_TTL_S)
+            id = await self.store.grant_lease(ttl_s)
         except StoreError as exc:
             self.log.emit("lease.not_granted", reason=str(exc))
             await self.clock.sleep(GRANT_RETRY_INTERVAL_S)
@@ -87,15 +106,16 @@
         self._incarnation += 1
         self.answered_at = self.clock.monotonic()
         self.round_trip_s = self.answered_at - sent_at
+        self._extended_at = sent_at
         self.lease = Lease.granted(
             id=id,
             incarnation=self._incarnation,
             asked_at=sent_at,
-            ttl_s=LEASE_TTL_S,
+            ttl_s=ttl_s,
             margin_s=CLOCK_MARGIN_S,
         )
         self.granted.set()
-        self.log.emit("lease.granted", lease=id, outcome="store reached")
+        self.log.emit("lease.granted", lease=id, ttl_s=ttl_s, outcome="store reached")
 
     async def _renew(self, lease: Lease) -> None:
         sent_at = self._sent_at = self.clock.monotonic()
@@ -113,6 +133,7 @@
                 self.log.emit("lease.extended_late", lease=lease.id, took_s=round(took_s, 3))
             if self.lease is not None and self.lease.id == lease.id:
                 self.lease = self.lease.renewed(asked_at=sent_at, ttl_s=ttl_s)
+                self._extended_at = max(self._extended_at, sent_at)
 
     def _discard(self, reason: str) -> None:
         assert self.lease is not None
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -21,6 +21,8 @@
     ApprovalResponse,
     Order,
     PaceOrder,
+    Refusal,
+    Refused,
     StartOrder,
     StopOrder,
 )
@@ -94,11 +96,18 @@
         with self._counted_call():
             host = self.ctx.dispatcher.tracker.hosts[order.host]
             if not self.ctx.tenure.holds():
+                self._release_start(order)
                 return
             await self._call_start(host, order)
             if self.ctx.dispatcher.is_start_unclear(order.host, order.task, order.attempt):
                 await self._resolve_unclear_start(order)
 
+    def _release_start(self, order: StartOrder) -> None:
+        """Give up a start order that was not sent, so that its task may be placed again."""
+        result = Refused(reason=Refusal.NOT_SENT)
+        now = self.ctx.now()
+        self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
+
     async def _call_start(self, host: Host, order: StartOrder) -> None:
         sent_at = self.ctx.now()
         result = await self.ctx.process.workers.start(
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -342,6 +342,8 @@
                 pass
             self.ctx.wake.clear()
             self.tenure.check()
+            if not self.tenure.holds():
+                continue
             started_at = self.ctx.now()
             self._decide()
             if self.ctx.dispatcher.has_more:
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -27,7 +27,7 @@
 
 @define(kw_only=True, eq=False)
 class Tenure:
-    """This process's ownership of the cell, valid while its lease is held.
+    """This process's ownership of the cell, which ends with its lease at the latest.
 
     :param keeper: holds and extends the lease.
     :param lease_id: lease that the owner's key is attached to.
@@ -51,11 +51,12 @@
         return not self.ended and lease is not None and lease.id == self.lease_id
 
     def check(self) -> None:
-        """Check that this process may act as the owner now.
+        """Check that this process may still be the owner, whether or not it may act now.
 
-        :raises OwnershipLost: if it may not.
+        :raises OwnershipLost: if it is no longer the owner.
         """
-        if not self.holds():
+        lease = self.keeper.kept_lease()
+        if self.ended or lease is None or lease.id != self.lease_id:
             raise OwnershipLost(self.ended or "the lease was not extended in time")
 
     def end(self, reason: str) -> None:
--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -64,7 +64,9 @@
     ctx = TermContext(
         process=process,
         tenure=Tenure(
-            keeper=SimpleNamespace(valid_lease=lambda: lease), lease_id=LEASE_ID, fence=fence
+            keeper=SimpleNamespace(valid_lease=lambda: lease, kept_lease=lambda: lease),
+            lease_id=LEASE_ID,
+            fence=fence,
         ),
         dispatcher=Dispatcher(takeover=Takeover(leases_expire_at=0.0), lease_s=6.0),
     )
--- a/tests/cell/test_roster.py
+++ b/tests/cell/test_roster.py
@@ -26,7 +26,7 @@
 async def make_roster(store, *, fence: int = 0) -> Roster:
     lease = Lease(id=7, incarnation=1, until=time.monotonic() + 60, margin_s=0.0)
     tenure = Tenure(
-        keeper=SimpleNamespace(valid_lease=lambda: lease),
+        keeper=SimpleNamespace(valid_lease=lambda: lease, kept_lease=lambda: lease),
         lease_id=7,
         fence=fence or await take_ownership(store),
     )
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -47,7 +47,11 @@
 def make_term(peers: Peers, *, store_reachable: bool) -> Term:
     view = CellView(members={name: member(name) for name in ("own", "b", "c")})
     lease = SimpleNamespace(id=1)
-    keeper = SimpleNamespace(valid_lease=lambda: lease, store_reachable=lambda: store_reachable)
+    keeper = SimpleNamespace(
+        valid_lease=lambda: lease,
+        kept_lease=lambda: lease,
+        store_reachable=lambda: store_reachable,
+    )
     watcher = SimpleNamespace(restart=lambda: None, next=SlowStore().list)
     process = SimpleNamespace(
         cfg=CellSettings(member="own", region="r", failure_domain="d"),
