Return no value of a watched key that has been deleted since

Seen by callers: nothing on the platform, which never deletes the configuration. A value that was written and deleted while the watcher was behind would have come into force, and each later comparison would have failed and transferred nothing (fuzz profile: "unnecessary calls to a store without failures").

Cause: the watch passed over deletions. After a comparison had found the key deleted, the watch went on from its old revision, delivered the deleted value, and it became the known one.

Change: a deletion in an answer of the watch counts like the end of the value; the last event of the key decides.

Looked at as well: watches of prefixes, whose readers apply deletions in order.

Evidence: the fuzz profile failed in 22 s with these steps and now passes its 2,000 examples; test_value_that_was_deleted_again_is_not_returned failed before.

--- a/rhubarbferry/cell/key_watch.py
+++ b/rhubarbferry/cell/key_watch.py
@@ -13,6 +13,7 @@
     Committed,
     Conflict,
     Expect,
+    KeyDeleted,
     KeyPut,
     KeyValue,
     StoreRefused,
@@ -133,8 +134,12 @@
         changes = await self.store.changes(self.key, after=self._watch_after, wait_s=wait_s)
         version = None
         for event in changes.events:
-            if isinstance(event, KeyPut) and event.kv.key == self.key:
-                version = self._new_version(event.kv, Source.WATCH, changes.transfer_s)
+            match event:
+                case KeyPut(kv=kv) if kv.key == self.key:
+                    version = self._new_version(kv, Source.WATCH, changes.transfer_s)
+                case KeyDeleted(key=key) if key == self.key:
+                    # A value that was deleted again is not the current one.
+                    version = self._new_version(None, Source.WATCH, changes.transfer_s)
         if changes.events:
             self._watch_after = max(self._watch_after, changes.revision)
         return version
--- a/tests/cell/test_key_watch.py
+++ b/tests/cell/test_key_watch.py
@@ -7,6 +7,7 @@
 from rhubarbferry.cell.key_watch import KeyWatcher, Source
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import StoreError
+from rhubarbferry.test.store_engine import Delete
 
 from .fakes import FakeEventLog
 
@@ -127,3 +128,19 @@
         await watcher.next(WAIT_S)
     stand_in.faults.down = False
     assert (await watcher.next(WAIT_S)).item.value == (b"1" if call == "listing" else b"2")
+
+
+@pytest.mark.parametrize("compared", [True, False])
+async def test_value_that_was_deleted_again_is_not_returned(store, stand_in, compared):
+    """Guards against a deleted value that comes into force, and is then compared in vain."""
+    stand_in.put(KEY, 1)
+    watcher = key_watcher(store)
+    await watcher.next(WAIT_S)
+    stand_in.put(KEY, 2)
+    stand_in.engine.txn([], [Delete(key=KEY)])
+    if compared:
+        watcher.compare_next()
+        assert await watcher.next(WAIT_S) is None
+    assert await watcher.next(WAIT_S) is None
+    stand_in.put(KEY, 3)
+    assert (await watcher.next(WAIT_S)).item.value == b"3"
