Give the test of the listing of a prefix a clock of its own

The test failed once in each of three runs beside others ("two watches of 0.05 s must begin within 0.075 s").

Cause, from a run: of 100 plays on a quiet machine the second watch began 0.058 to 0.076 s after the listing (median 0.060), beside six busy processes 0.059 to 0.079 s. The stand-in answers a watch of 0.05 s up to 12 ms late, so that 10 to 15 ms are left to the machine; the listing was then due, and the product was right to read it.

Change: a clock that the test advances decides what is due. A watch must come until 1 ms before the listing is due, and the listing at that time, twice in a row; the share of the history is checked apart.

--- a/tests/cell/test_prefix_watch.py
+++ b/tests/cell/test_prefix_watch.py
@@ -4,18 +4,27 @@
 
 import pytest
 
-from rhubarbferry.cell.prefix_watch import PrefixWatcher
-from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.cell.prefix_watch import RELIST_HISTORY_SHARE, PrefixWatcher
+from rhubarbferry.ports.clock import Clock, SystemClock
 from rhubarbferry.ports.store import Changes, Listing
+from rhubarbferry.test.fake_clock import FakeClock
 
 from .fakes import FakeEventLog
 
 WAIT_S = 0.05
+HISTORY_S = 60.0
+JUST_BEFORE_S = 0.001
 
 
-def prefix_watcher(store, *, history_s: float = 60.0) -> PrefixWatcher:
+def prefix_watcher(
+    store, *, history_s: float = HISTORY_S, clock: Clock | None = None
+) -> PrefixWatcher:
     return PrefixWatcher(
-        clock=SystemClock(), store=store, log=FakeEventLog(), prefix="op/", history_s=history_s
+        clock=clock or SystemClock(),
+        store=store,
+        log=FakeEventLog(),
+        prefix="op/",
+        history_s=history_s,
     )
 
 
@@ -48,10 +57,19 @@
     assert keys == ["op/config"]
 
 
-async def test_unchanged_prefix_is_listed_before_its_history_is_dropped(store, stand_in):
+async def test_unchanged_prefix_is_listed_before_its_history_is_dropped(store):
     """Guards against a watch that is refused each time because nothing has changed for long."""
-    watcher = prefix_watcher(store, history_s=0.1)
-    assert isinstance(await watcher.next(WAIT_S), Listing)
-    assert isinstance(await watcher.next(WAIT_S), Changes)
-    assert isinstance(await watcher.next(WAIT_S), Changes)
-    assert isinstance(await watcher.next(WAIT_S), Listing)
+    clock = FakeClock()
+    watcher = prefix_watcher(store, history_s=HISTORY_S, clock=clock)
+    due_s = HISTORY_S * RELIST_HISTORY_SHARE
+    for _ in range(2):
+        assert isinstance(await watcher.next(WAIT_S), Listing)
+        assert isinstance(await watcher.next(WAIT_S), Changes)
+        clock.jump(due_s - JUST_BEFORE_S)
+        assert isinstance(await watcher.next(WAIT_S), Changes)
+        clock.jump(JUST_BEFORE_S)
+
+
+def test_a_listing_is_due_well_before_the_history_is_dropped():
+    """Guards against a listing that is due so late that its call would not end in time."""
+    assert RELIST_HISTORY_SHARE <= 0.75
