--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -28,23 +28,15 @@
 # A new owner starts no inherited task before each host has answered once. One lost answer must not
 # delay all of them, so the first poll of a host has a short timeout and is retried soon.
 FIRST_RESPONSE_MARGIN_S = 0.25
-# The margin doubles with each failed poll, up to these limits. On a busy link all answers are late,
-# and with a fixed margin no host would ever be adopted.
-MAX_RESPONSE_MARGIN_S = 2.0
-MAX_MARGIN_DOUBLINGS = 3
 FIRST_POLL_RETRY_INTERVAL_S = 0.05
 
 
 @define(kw_only=True, eq=False)
 class HostPoller:
-    """Polls one host until the dispatcher forgets it.
-
-    :ivar failures: number of polls that have failed since the last answer.
-    """
+    """Polls one host until the dispatcher forgets it."""
 
     ctx: TermContext
     id: str
-    failures: int = 0
 
     async def run(self) -> None:
         """Poll repeatedly; return when the dispatcher no longer tracks the host.
@@ -56,12 +48,9 @@
             if not self.ctx.tenure.holds():
                 await asyncio.sleep(POLL_RETRY_INTERVAL_S)
             elif not await self._poll(host):
-                self.failures += 1
                 await asyncio.sleep(self._retry_interval_s(host))
-            else:
-                self.failures = 0
-                if host.seen_end > host.recorded_end:
-                    await asyncio.sleep(UNRECORDED_ENDS_PAUSE_S)
+            elif host.seen_end > host.recorded_end:
+                await asyncio.sleep(UNRECORDED_ENDS_PAUSE_S)
 
     def _retry_interval_s(self, host: Host) -> float:
         if not host.adopted:
@@ -77,12 +66,6 @@
         """
         return min(MAX_POLL_WAIT_S, POLL_WAIT_S * max(1.0, self.ctx.process.lag_s() / LAG_GOAL_S))
 
-    def response_margin_s(self, host: Host) -> float:
-        """Return how long a response may take in addition to the poll's wait."""
-        margin_s = RESPONSE_MARGIN_S if host.adopted else FIRST_RESPONSE_MARGIN_S
-        doublings = min(self.failures, MAX_MARGIN_DOUBLINGS)
-        return min(MAX_RESPONSE_MARGIN_S, margin_s * 2**doublings)
-
     async def poll_once(self) -> None:
         """Poll once, without waiting for the end of a task."""
         host = self.ctx.dispatcher.tracker.hosts.get(self.id)
@@ -104,7 +87,7 @@
             deadline_s=deadline_s,
             acknowledged_to=acknowledged_to,
             wait_s=0.0 if no_wait else host.poll_wait_s,
-            response_margin_s=self.response_margin_s(host),
+            response_margin_s=RESPONSE_MARGIN_S if host.adopted else FIRST_RESPONSE_MARGIN_S,
         )
         try:
             report = await ctx.process.workers.extend_leases(entry, req)
--- a/rhubarbferry/platform/http_client.py
+++ b/rhubarbferry/platform/http_client.py
@@ -13,8 +13,7 @@
 
 # Connections are kept open between calls: a new one is billed and takes one more round trip.
 KEEP_ALIVE_TIMEOUT_S = 30.0
-# Allows for one round trip between regions and for a busy host. It doubles with each attempt of a
-# call, since on a busy link the answer to a SYN packet may wait longer.
+# Allows for one round trip between regions and for a busy host.
 CONNECT_TIMEOUT_S = 0.3
 # Default limit of concurrent connections to one address.
 MAX_CONNECTIONS_PER_ADDRESS = 32
@@ -174,26 +173,20 @@
     async def _send_with_reconnect(
         self, method: str, url: str, progress: _CallProgress, **options: Any
     ) -> Response:
-        connect_timeout_s = CONNECT_TIMEOUT_S
         while True:
             try:
-                return await self._send(method, url, progress, connect_timeout_s, **options)
+                return await self._send(method, url, progress, **options)
             except aiohttp.ConnectionTimeoutError:
-                # The SYN packet was lost or is late, and no data was sent. The kernel retransmits
-                # it only after a second; opening another connection is faster.
-                connect_timeout_s *= 2
+                # The SYN packet was lost, and no data was sent. The kernel retransmits it only
+                # after a second; opening another connection is faster.
+                continue
 
     async def _send(
-        self,
-        method: str,
-        url: str,
-        progress: _CallProgress,
-        connect_timeout_s: float,
-        **options: Any,
+        self, method: str, url: str, progress: _CallProgress, **options: Any
     ) -> Response:
         loop = asyncio.get_running_loop()
         connect_timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=connect_timeout_s + self._extra_timeout_s()
+            total=None, sock_connect=CONNECT_TIMEOUT_S + self._extra_timeout_s()
         )
         request = self._get_session().request(
             method, url, trace_request_ctx=progress, timeout=connect_timeout, **options
