Report an owner as replaced by the process that ended its lease

Callers saw nothing; an operator would look for a process that replaced the owner and find none.

Cause: a monitor first ends the silent owner's lease, then writes its own key. Any other process may see the vacancy and write first, at once if it is the first in the election. Then nobody has "replaced".

Ruled out: that no process noticed the silence, or that the pause was too short; the owner had changed.

Change: the outcome says whether this process has ended the lease, which the store's answer tells (404: it had ended before).

Evidence: the new test of a lost election failed before.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -115,16 +115,18 @@
         Its lease is revoked first, which also removes its key. The owner may be alive and only
         disconnected from this process. If just the key were replaced, it could go on renewing its
         lease and would act until it notices the new key. That may take longer than its successor
-        waits for hosts that only the former owner can reach.
+        waits for hosts that only the former owner can reach. Another process may notice the vacancy
+        and become the owner first.
 
-        :returns: whether this process is now the owner.
+        :returns: whether this process has ended the owner's lease.
         """
         try:
-            await self.process.store.revoke_lease(ownership.lease_id)
+            ended = await self.process.store.revoke_lease(ownership.lease_id)
         except StoreError as exc:
             self.process.log.emit("owner.not_replaced", reason=str(exc)[:200])
             return False
-        return await self._acquire(replaces=0)
+        await self._acquire(replaces=0)
+        return ended
 
     async def _acquire(self, *, replaces: int) -> bool:
         """Write the owner's key for this process, unless it may not become the owner now.
--- a/rhubarbferry/cell/owner_monitor.py
+++ b/rhubarbferry/cell/owner_monitor.py
@@ -43,7 +43,8 @@
     connections, and to 0.6 to 0.9 s for an unresponsive one. The owner need not be proven dead:
     replacing a live owner is safe and costs only one unnecessary change of the owner.
 
-    :param replace: replaces the given owner by this process; returns whether it succeeded.
+    :param replace: ends the lease of the given owner and lets this process try to succeed it;
+        returns whether the lease existed until then.
     """
 
     clock: Clock
@@ -137,10 +138,10 @@
         await self.clock.sleep(position * ELECTION_STAGGER_S)
         if self.view.ownership is None or self.view.ownership.fence != ownership.fence:
             return
-        taken = await self.replace(ownership)
+        replaced = await self.replace(ownership)
         self.log.emit(
             "owner.found_silent",
             owner=ownership.owner.name,
             fence=ownership.fence,
-            outcome="replaced" if taken else "left to others",
+            outcome="replaced" if replaced else "left to others",
         )
--- a/rhubarbferry/platform/store.py
+++ b/rhubarbferry/platform/store.py
@@ -160,11 +160,12 @@
             raise _error_for(response)
         return float(_require_body(response)["ttlMs"]) / 1000
 
-    async def revoke_lease(self, lease_id: int) -> None:
-        """Revoke a lease and delete the keys attached to it; ignore a lease that has ended."""
+    async def revoke_lease(self, lease_id: int) -> bool:
+        """Revoke a lease and delete the keys attached to it; return whether it existed."""
         response = await self._call("revoke", "DELETE", f"kv-lease-end/{lease_id}")
         if response.status not in (200, 204, 404):
             raise _error_for(response)
+        return response.status != 404
 
     async def close(self) -> None:
         """Close all connections."""
--- a/rhubarbferry/ports/store.py
+++ b/rhubarbferry/ports/store.py
@@ -212,8 +212,11 @@
         """
         ...
 
-    async def revoke_lease(self, lease_id: int) -> None:
-        """Revoke a lease and delete the keys attached to it."""
+    async def revoke_lease(self, lease_id: int) -> bool:
+        """Revoke a lease and delete the keys attached to it.
+
+        :returns: whether the lease existed until then.
+        """
         ...
 
     async def close(self) -> None:
--- a/tests/cell/test_candidate.py
+++ b/tests/cell/test_candidate.py
@@ -5,10 +5,13 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.candidate import Candidate
 from rhubarbferry.cell.members import CellView, Ownership, encode_member
-from rhubarbferry.ports.store import Changes, KeyPut, KeyValue
+from rhubarbferry.ports.clock import SystemClock
+from rhubarbferry.ports.store import Changes, Conflict, KeyPut, KeyValue, StoreUnavailable
 
 from .fakes import FakeEventLog, member
 
@@ -47,3 +50,41 @@
         while candidate.process.view.ownership.fence == 9:
             await candidate._follow_changes(1.0)
     assert candidate.process.view.ownership.owner.name == "later"
+
+
+class ContestedStore:
+    """Fake store in which another process becomes the owner as soon as there is none.
+
+    :param lease_exists: whether the silent owner's lease has not ended yet.
+    """
+
+    def __init__(self, *, lease_exists: bool, down: bool = False) -> None:
+        self._lease_exists = lease_exists
+        self._down = down
+
+    async def revoke_lease(self, lease_id):
+        if self._down:
+            raise StoreUnavailable("down")
+        return self._lease_exists
+
+    async def commit(self, txn):
+        return Conflict(items={keys.OWNER: LATER_OWNER_KEY})
+
+
+@pytest.mark.parametrize(
+    ("store", "replaced"),
+    [
+        pytest.param(ContestedStore(lease_exists=True), True, id="its lease is ended here"),
+        pytest.param(ContestedStore(lease_exists=False), False, id="its lease had ended"),
+        pytest.param(ContestedStore(lease_exists=True, down=True), False, id="store outage"),
+    ],
+)
+async def test_a_silent_owner_is_replaced_whoever_succeeds_it(store, replaced):
+    """Guard against a replaced owner that no process reports, since another won the election."""
+    candidate = make_candidate()
+    candidate.process.store = store
+    candidate.process.keeper = SimpleNamespace(valid_lease=lambda: SimpleNamespace(id=7))
+    candidate.process.clock = SystemClock()
+    silent = Ownership(owner=member("silent"), fence=9, lease_id=1)
+    assert await candidate.replace_unresponsive(silent) is replaced
+    assert candidate.term is None
--- a/tests/on_platform/test_store.py
+++ b/tests/on_platform/test_store.py
@@ -71,7 +71,8 @@
     lease = await store.grant_lease(5.0)
     put = Put(key="a", value=b"1", lease_id=lease)
     await store.commit(Txn(put=(put,)))
-    await store.revoke_lease(lease)
+    assert await store.revoke_lease(lease)
+    assert not await store.revoke_lease(lease)
     assert await store.get("a") is None
     with pytest.raises(LeaseLost):
         await store.keep_alive(lease)
