Limit how long a silent store delays the verification of a log's head

Cause: each half of the retention an append is confirmed by a write of the log's head, which was tried eight times, each with a timeout for the write and one for the read that checks it: 16 to 19 s on a silent store, while all other waits of the path end after 2 s. Appends that come meanwhile queue behind it.

Ruled out, by reading: the wait for the rate limit (bounded), the create of a segment (2 s), the wait for another request with the same key (the test has none), a lost reply (the connection's heartbeat ends it after 3 s).

Change: a verification or a move of the head is given up after the time for which a write without a reply is retried. The append fails as unclear, as for a segment, and those behind it as not written.

--- a/rhubarbferry/coordination/log.py
+++ b/rhubarbferry/coordination/log.py
@@ -104,6 +104,7 @@
             epoch=epoch,
             writer_id=writer_id,
             nonce=self._nonce,
+            resolve_timeout_s=resolve_timeout_s,
         )
         self._compactor = Compactor(
             store=store,
--- a/rhubarbferry/coordination/log_head.py
+++ b/rhubarbferry/coordination/log_head.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from itertools import count
 
@@ -32,13 +33,23 @@
     :param writer_id: the id of this process.
     :param epoch: the epoch under which this process owns the partition.
     :param nonce: unique for each object, so that its write ids are never reused.
+    :param resolve_timeout_s: how long a change of the head is retried after a lost reply; appends
+        wait for it.
     :ivar revision: store revision of the last known head; 0 before the first read.
     :ivar verified_at: monotonic time of the last confirmation that no later owner has claimed it.
     :ivar head: the last known head.
     """
 
     def __init__(
-        self, *, store: Store, clock: Clock, keys: LogKeys, epoch: int, writer_id: str, nonce: str
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        keys: LogKeys,
+        epoch: int,
+        writer_id: str,
+        nonce: str,
+        resolve_timeout_s: float,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -46,6 +57,7 @@
         self._epoch = epoch
         self._writer_id = writer_id
         self._nonce = nonce
+        self._resolve_timeout_s = resolve_timeout_s
         self._write_numbers = count(1)
         self._lock = asyncio.Lock()
         self.revision = 0
@@ -69,16 +81,20 @@
         :raises LogFenced: when a later owner has claimed the head.
         """
         async with self._lock:
-            await self._compare_and_swap()
+            await self._compare_and_swap(timeout_s=self._resolve_timeout_s)
 
     async def move(self, *, upto: int, snapshot: str, chunks: int) -> None:
         """Point the head at a snapshot whose chunks are all stored."""
         async with self._lock:
             await self._compare_and_swap(
-                lambda head: attrs.evolve(head, upto=upto, snapshot=snapshot, chunks=chunks)
+                lambda head: attrs.evolve(head, upto=upto, snapshot=snapshot, chunks=chunks),
+                timeout_s=self._resolve_timeout_s,
             )
 
-    async def _compare_and_swap(self, change: Callable[[Head], Head] = _unchanged) -> None:
+    async def _compare_and_swap(
+        self, change: Callable[[Head], Head] = _unchanged, *, timeout_s: float = math.inf
+    ) -> None:
+        until = self._clock.monotonic() + timeout_s
         outcome_unknown = False
         for _ in range(MAX_ATTEMPTS):
             started_at = self._clock.monotonic()
@@ -97,6 +113,8 @@
                     return
             if await self._is_stored(value, started_at):
                 return
+            if self._clock.monotonic() >= until:
+                break
             await self._clock.sleep(RETRY_INTERVAL_S)
         if outcome_unknown:
             raise LogUnclear(f"it is unknown whether {self._keys.head} was written; try again")
