Let pings of a busy owner take longer, as its recent answers did

Cause: two pings of 0.3 s without an answer (trials: `owner.found_silent` with `replaced` while the former owner writes lines all the time and has extended its lease 0.0 to 0.4 s before). Its answers had become slow before.

Ruled out: a dead or frozen owner; the pauses of the garbage collector, which are gone.

Change: the limit of a ping is three times the longest recent answer, between 0.3 and 1.0 s. Owners that answer within 0.1 s are found as before.

--- a/rhubarbferry/cell/owner_monitor.py
+++ b/rhubarbferry/cell/owner_monitor.py
@@ -16,8 +16,14 @@
 
 # Interval between two pings of the owner.
 PING_INTERVAL_S = 0.25
-# Covers a round trip between regions and the delay of a busy process.
+# Covers a round trip between regions and the delay of a busy process. It is extended for an owner
+# whose recent answers took longer.
 PING_TIMEOUT_S = 0.3
+MAX_PING_TIMEOUT_S = 1.0
+# The time limit of a ping is this multiple of the longest recent answer.
+PING_TIMEOUT_FACTOR = 3.0
+# Factor by which the recorded longest answer decreases with each shorter one.
+ANSWER_DECAY = 0.9
 # Pause after an unanswered ping.
 PING_RETRY_INTERVAL_S = 0.05
 # The owner counts as unresponsive after this many consecutive unanswered pings. A single ping may
@@ -27,7 +33,6 @@
 # that has died or is frozen does not extend its lease, which ends earlier.
 NEW_OWNER_PERIOD_S = MAX_LOAD_S
 NEW_OWNER_MAX_MISSED_PINGS = 4
-NEW_OWNER_PING_TIMEOUT_S = 1.0
 # Number of processes that ping the owner: the first ones in the order of succession.
 MONITOR_COUNT = 3
 # Number of other members to ping, to check that it is not this process that is disconnected.
@@ -56,6 +61,7 @@
     _fence: int | None = None
     _changed_at: float = float("-inf")
     _loaded: bool = False
+    _longest_answer_s: float = 0.0
     _monitors: list[str] = field(factory=list)
     _monitors_version: tuple[int, int] | None = None
 
@@ -90,6 +96,7 @@
             self._changed_at = self.clock.monotonic()
         self._fence = fence
         self._loaded = False
+        self._longest_answer_s = 0.0
 
     def _owner_is_new(self) -> bool:
         return not self._loaded and self.clock.monotonic() - self._changed_at < NEW_OWNER_PERIOD_S
@@ -103,6 +110,20 @@
         """
         return NEW_OWNER_MAX_MISSED_PINGS if self._owner_is_new() else MAX_MISSED_PINGS
 
+    def ping_timeout_s(self) -> float:
+        """Return how long the owner may take to answer a ping.
+
+        An owner whose processor or link is busy answers slowly for a while before it misses a ping.
+        Its successor would have the same work, and would first have to read all jobs.
+        """
+        if self._owner_is_new():
+            return MAX_PING_TIMEOUT_S
+        extended_s = PING_TIMEOUT_FACTOR * self._longest_answer_s
+        return min(MAX_PING_TIMEOUT_S, max(PING_TIMEOUT_S, extended_s))
+
+    def _record_answer(self, took_s: float) -> None:
+        self._longest_answer_s = max(took_s, ANSWER_DECAY * self._longest_answer_s)
+
     async def _is_unresponsive(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped responding.
 
@@ -110,9 +131,10 @@
         """
         refused = unanswered = 0
         while refused < MAX_MISSED_PINGS and unanswered < self.max_missed_pings():
-            timeout_s = NEW_OWNER_PING_TIMEOUT_S if self._owner_is_new() else PING_TIMEOUT_S
-            match await self.peers.ping(ownership.owner, timeout_s=timeout_s):
+            sent_at = self.clock.monotonic()
+            match await self.peers.ping(ownership.owner, timeout_s=self.ping_timeout_s()):
                 case PingResult.ANSWERED | PingResult.LOADING as result:
+                    self._record_answer(self.clock.monotonic() - sent_at)
                     self._loaded = result is PingResult.ANSWERED
                     await self.clock.sleep(PING_INTERVAL_S)
                     return False
