Hand over for a silent store only after a silence longer than its answers

Cause: "the store does not answer" after 0.5 s without an answer, while answers took 0.7 to 0.8 s on a busy link. The process that was asked had one answer more by chance.

Change: an owner counts the store as lost after a renewal interval and three times the longest recent answer, between 0.5 and 1.3 s; it may act for 1.4 s. A calm owner decides after 0.5 s as before, and requests are rejected after 0.5 s as before.

--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -29,6 +29,12 @@
 # The store counts as responsive for this long after an answer: the renewal interval plus the answer
 # time of a slow store.
 STORE_ANSWER_MAX_AGE_S = 0.5
+# The store counts as lost once it has not answered for this multiple of the longest recent answer,
+# but for no longer than an owner may act without one.
+LOST_STORE_FACTOR = 3.0
+LOST_STORE_MAX_AGE_S = LEASE_TTL_S - 2 * CLOCK_MARGIN_S
+# Factor by which the recorded longest answer decreases with each shorter one.
+ANSWER_DECAY = 0.9
 
 
 @define(kw_only=True, eq=False)
@@ -50,6 +56,7 @@
     _incarnation: int = 0
     _sent_at: float = float("-inf")
     _extended_at: float = float("-inf")
+    _longest_answer_s: float = 0.0
     _long_leases_until: float = float("-inf")
     _renewals: set[asyncio.Task[None]] = field(factory=set)
 
@@ -72,6 +79,15 @@
         """Return whether the store has answered this process recently."""
         return self.clock.monotonic() - self.answered_at < STORE_ANSWER_MAX_AGE_S
 
+    def store_lost(self) -> bool:
+        """Return whether the store has been silent for much longer than its recent answers took.
+
+        Handing over costs a takeover, and on a busy link the successor's answers are as late.
+        """
+        max_age_s = RENEWAL_INTERVAL_S + LOST_STORE_FACTOR * self._longest_answer_s
+        max_age_s = min(LOST_STORE_MAX_AGE_S, max(STORE_ANSWER_MAX_AGE_S, max_age_s))
+        return self.clock.monotonic() - self.answered_at >= max_age_s
+
     async def run(self) -> None:
         """Acquire and renew a lease until cancelled."""
         while True:
@@ -129,6 +145,7 @@
         else:
             self.answered_at = self.clock.monotonic()
             took_s = self.answered_at - sent_at
+            self._longest_answer_s = max(took_s, ANSWER_DECAY * self._longest_answer_s)
             if took_s >= SLOW_RENEWAL_S:
                 self.log.emit("lease.extended_late", lease=lease.id, took_s=round(took_s, 3))
             if self.lease is not None and self.lease.id == lease.id:
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -221,10 +221,10 @@
         """
         while True:
             await asyncio.sleep(STORE_CHECK_INTERVAL_S)
-            if self.process.keeper.store_reachable():
+            if not self.process.keeper.store_lost():
                 continue
             member = await self._find_connected_successor()
-            if member is not None and not self.process.keeper.store_reachable():
+            if member is not None and self.process.keeper.store_lost():
                 # This process must not act from here on, whatever the other process answers.
                 self.tenure.end(f"the store does not answer; handing over to {member.name}")
                 await self.process.peers.take_over(member, self.tenure.fence)
--- a/tests/cell/test_lease.py
+++ b/tests/cell/test_lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 from attrs import define, field
 
 from rhubarbferry.cell.lease import (
@@ -11,7 +12,9 @@
     LEASE_TTL_S,
     LONG_LEASE_PERIOD_S,
     LONG_LEASE_TTL_S,
+    LOST_STORE_MAX_AGE_S,
     RENEWAL_INTERVAL_S,
+    STORE_ANSWER_MAX_AGE_S,
     LeaseKeeper,
 )
 from rhubarbferry.cell.term_context import Tenure
@@ -20,6 +23,7 @@
 from .fakes import FakeEventLog
 
 FENCE = 5
+JUST_BEFORE_S = 0.001
 
 
 @define
@@ -70,6 +74,28 @@
     assert cell.store.granted_ttl_s == [LEASE_TTL_S, LONG_LEASE_TTL_S, LEASE_TTL_S]
 
 
+@pytest.mark.parametrize(
+    ("answer_s", "lost_after_s"),
+    [
+        pytest.param(0.04, STORE_ANSWER_MAX_AGE_S, id="calm"),
+        pytest.param(0.25, RENEWAL_INTERVAL_S + 0.75, id="slow store"),
+        pytest.param(0.7, LOST_STORE_MAX_AGE_S, id="busy link"),
+    ],
+)
+async def test_the_store_is_lost_once_it_is_silent_for_longer_than_usual(answer_s, lost_after_s):
+    """Guards against handing over to an equal process because answers are late for both."""
+    cell = Cell()
+    cell.store.answer_s = answer_s
+    await cell.clock.advance(5.0)
+    assert not cell.keeper.store_lost()
+    cell.running.cancel()
+    await cell.clock.advance(2.0)
+    cell.clock.jump(cell.keeper.answered_at + lost_after_s - JUST_BEFORE_S - cell.clock.monotonic())
+    assert not cell.keeper.store_lost()
+    cell.clock.jump(2 * JUST_BEFORE_S)
+    assert cell.keeper.store_lost()
+
+
 async def test_an_owner_with_a_long_lease_pauses_while_no_renewal_is_answered():
     """Guards against actions that the successor does not expect any more."""
     cell = Cell()
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -51,6 +51,7 @@
         valid_lease=lambda: lease,
         kept_lease=lambda: lease,
         store_reachable=lambda: store_reachable,
+        store_lost=lambda: not store_reachable,
     )
     watcher = SimpleNamespace(restart=lambda: None, next=SlowStore().list)
     process = SimpleNamespace(
