End a dropped lease in the store, and share the limits that follow answers

An owner whose term has ended without a successor drops its lease, and its key went with it when the lease ran out. Longer leases would make that up to 4 s without an owner instead of 1.5 s, since the former owner still answers pings. Its lease is now ended by a call.

The multiple of the longest recent answer stood twice, for pings and for the store; it has a class of its own. A test for the start order that a paused owner gives back comes with it.

Behaviour of the limits is unchanged.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -303,7 +303,7 @@
         if tenure.handed_over or await self._remove_key(term):
             return
         # The key may still exist under a lease that this process keeps renewing, and then no
-        # process would schedule. Once the lease is dropped, the key expires with it.
+        # process would schedule. Once the lease is dropped, the key is removed with it.
         self.process.keeper.drop("its term of ownership has ended")
 
     async def _remove_key(self, term: Term) -> bool:
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from rhubarbferry.cell.answer_times import AnswerTimes
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.ports.clock import Clock
@@ -29,12 +30,8 @@
 # The store counts as responsive for this long after an answer: the renewal interval plus the answer
 # time of a slow store.
 STORE_ANSWER_MAX_AGE_S = 0.5
-# The store counts as lost once it has not answered for this multiple of the longest recent answer,
-# but for no longer than an owner may act without one.
-LOST_STORE_FACTOR = 3.0
+# The store counts as lost after this time at the latest, while an owner may still act.
 LOST_STORE_MAX_AGE_S = LEASE_TTL_S - 2 * CLOCK_MARGIN_S
-# Factor by which the recorded longest answer decreases with each shorter one.
-ANSWER_DECAY = 0.9
 
 
 @define(kw_only=True, eq=False)
@@ -56,9 +53,10 @@
     _incarnation: int = 0
     _sent_at: float = float("-inf")
     _extended_at: float = float("-inf")
-    _longest_answer_s: float = 0.0
+    _answer_times: AnswerTimes = field(factory=AnswerTimes)
     _long_leases_until: float = float("-inf")
     _renewals: set[asyncio.Task[None]] = field(factory=set)
+    _ends: set[asyncio.Task[None]] = field(factory=set)
 
     def valid_lease(self) -> Lease | None:
         """Return the lease if an owner may act on it, else ``None``.
@@ -84,8 +82,11 @@
 
         Handing over costs a takeover, and on a busy link the successor's answers are as late.
         """
-        max_age_s = RENEWAL_INTERVAL_S + LOST_STORE_FACTOR * self._longest_answer_s
-        max_age_s = min(LOST_STORE_MAX_AGE_S, max(STORE_ANSWER_MAX_AGE_S, max_age_s))
+        max_age_s = self._answer_times.limit_s(
+            extra_s=RENEWAL_INTERVAL_S,
+            min_s=STORE_ANSWER_MAX_AGE_S,
+            max_s=LOST_STORE_MAX_AGE_S,
+        )
         return self.clock.monotonic() - self.answered_at >= max_age_s
 
     async def run(self) -> None:
@@ -106,10 +107,19 @@
                 await self.clock.sleep(RENEWAL_INTERVAL_S)
 
     def drop(self, reason: str) -> None:
-        """Stop renewing the lease, so that all keys that are bound to it expire."""
+        """Stop renewing the lease and end it, so that all keys that are bound to it are removed."""
         if self.lease is not None:
+            end = asyncio.create_task(self._end(self.lease.id))
+            self._ends.add(end)
+            end.add_done_callback(self._ends.discard)
             self._discard(reason)
 
+    async def _end(self, lease_id: int) -> None:
+        try:
+            await self.store.revoke_lease(lease_id)
+        except StoreError as exc:
+            self.log.emit("lease.not_ended", lease=lease_id, reason=str(exc)[:200])
+
     async def _grant(self) -> None:
         sent_at = self.clock.monotonic()
         ttl_s = LONG_LEASE_TTL_S if sent_at < self._long_leases_until else LEASE_TTL_S
@@ -145,7 +155,7 @@
         else:
             self.answered_at = self.clock.monotonic()
             took_s = self.answered_at - sent_at
-            self._longest_answer_s = max(took_s, ANSWER_DECAY * self._longest_answer_s)
+            self._answer_times.record(took_s)
             if took_s >= SLOW_RENEWAL_S:
                 self.log.emit("lease.extended_late", lease=lease.id, took_s=round(took_s, 3))
             if self.lease is not None and self.lease.id == lease.id:
--- a/rhubarbferry/cell/owner_monitor.py
+++ b/rhubarbferry/cell/owner_monitor.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from rhubarbferry.cell.answer_times import AnswerTimes
 from rhubarbferry.cell.candidate import ELECTION_STAGGER_S
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.members import CellView, Member, Ownership, successors
@@ -20,10 +21,6 @@
 # whose recent answers took longer.
 PING_TIMEOUT_S = 0.3
 MAX_PING_TIMEOUT_S = 1.0
-# The time limit of a ping is this multiple of the longest recent answer.
-PING_TIMEOUT_FACTOR = 3.0
-# Factor by which the recorded longest answer decreases with each shorter one.
-ANSWER_DECAY = 0.9
 # Pause after an unanswered ping.
 PING_RETRY_INTERVAL_S = 0.05
 # The owner counts as unresponsive after this many consecutive unanswered pings. A single ping may
@@ -61,7 +58,7 @@
     _fence: int | None = None
     _changed_at: float = float("-inf")
     _loaded: bool = False
-    _longest_answer_s: float = 0.0
+    _answer_times: AnswerTimes = field(factory=AnswerTimes)
     _monitors: list[str] = field(factory=list)
     _monitors_version: tuple[int, int] | None = None
 
@@ -96,7 +93,7 @@
             self._changed_at = self.clock.monotonic()
         self._fence = fence
         self._loaded = False
-        self._longest_answer_s = 0.0
+        self._answer_times = AnswerTimes()
 
     def _owner_is_new(self) -> bool:
         return not self._loaded and self.clock.monotonic() - self._changed_at < NEW_OWNER_PERIOD_S
@@ -111,18 +108,10 @@
         return NEW_OWNER_MAX_MISSED_PINGS if self._owner_is_new() else MAX_MISSED_PINGS
 
     def ping_timeout_s(self) -> float:
-        """Return how long the owner may take to answer a ping.
-
-        An owner whose processor or link is busy answers slowly for a while before it misses a ping.
-        Its successor would have the same work, and would first have to read all jobs.
-        """
+        """Return how long the owner may take to answer a ping."""
         if self._owner_is_new():
             return MAX_PING_TIMEOUT_S
-        extended_s = PING_TIMEOUT_FACTOR * self._longest_answer_s
-        return min(MAX_PING_TIMEOUT_S, max(PING_TIMEOUT_S, extended_s))
-
-    def _record_answer(self, took_s: float) -> None:
-        self._longest_answer_s = max(took_s, ANSWER_DECAY * self._longest_answer_s)
+        return self._answer_times.limit_s(min_s=PING_TIMEOUT_S, max_s=MAX_PING_TIMEOUT_S)
 
     async def _is_unresponsive(self, ownership: Ownership) -> bool:
         """Return whether the owner has stopped responding.
@@ -134,7 +123,7 @@
             sent_at = self.clock.monotonic()
             match await self.peers.ping(ownership.owner, timeout_s=self.ping_timeout_s()):
                 case PingResult.ANSWERED | PingResult.LOADING as result:
-                    self._record_answer(self.clock.monotonic() - sent_at)
+                    self._answer_times.record(self.clock.monotonic() - sent_at)
                     self._loaded = result is PingResult.ANSWERED
                     await self.clock.sleep(PING_INTERVAL_S)
                     return False
--- a/tests/cell/test_busy_owner.py
+++ b/tests/cell/test_busy_owner.py
@@ -12,7 +12,14 @@
 from rhubarbferry.cell.loop_lag import LAG_GOAL_S
 from rhubarbferry.cell.orders import MAX_CONCURRENT_CALLS, MIN_CONCURRENT_CALLS, OrderExecutor
 from rhubarbferry.dispatch.hosts import MAX_POLL_WAIT_S, POLL_WAIT_S, Host
-from rhubarbferry.dispatch.messages import HostEntry, Sizes, StartOrder, TaskId
+from rhubarbferry.dispatch.messages import (
+    HostEntry,
+    Refusal,
+    Refused,
+    Sizes,
+    StartOrder,
+    TaskId,
+)
 
 from .fakes import FakeEventLog
 
@@ -94,6 +101,18 @@
     assert executor.ctx.wake.is_set()
 
 
+async def test_a_start_order_that_may_not_be_sent_is_given_back():
+    """Guard against a task that waits for ever because its owner paused before the call."""
+    answers = []
+    ctx = context()
+    ctx.tenure.holds = lambda: False
+    ctx.dispatcher.start_answered = lambda *args, now: answers.append(args)
+    async with asyncio.TaskGroup() as group:
+        executor = OrderExecutor(ctx=ctx, log=FakeEventLog(), spawn=group.create_task)
+        executor.execute(start(0))
+    assert answers == [("a", start(0).task, 1, Refused(reason=Refusal.NOT_SENT))]
+
+
 POLL_WAITS = {
     "no lag": (0.0, POLL_WAIT_S),
     "lag at the goal": (LAG_GOAL_S, POLL_WAIT_S),
--- a/tests/cell/test_lease.py
+++ b/tests/cell/test_lease.py
@@ -33,11 +33,16 @@
     clock: FakeClock
     answer_s: float = 0.0
     granted_ttl_s: list[float] = field(factory=list)
+    revoked: list[int] = field(factory=list)
 
     async def grant_lease(self, ttl_s):
         self.granted_ttl_s.append(ttl_s)
         return len(self.granted_ttl_s)
 
+    async def revoke_lease(self, id):
+        self.revoked.append(id)
+        return True
+
     async def keep_alive(self, id):
         if self.answer_s:
             await self.clock.sleep(self.answer_s)
@@ -96,6 +101,18 @@
     assert cell.keeper.store_lost()
 
 
+async def test_a_dropped_lease_is_ended():
+    """Guards against seconds without an owner until the lease of the former one runs out."""
+    cell = Cell()
+    await cell.clock.advance(RENEWAL_INTERVAL_S)
+    dropped = cell.keeper.lease.id
+    cell.keeper.drop("test")
+    await cell.clock.advance(RENEWAL_INTERVAL_S)
+    assert cell.store.revoked == [dropped]
+    assert cell.keeper.kept_lease().id != dropped
+    cell.running.cancel()
+
+
 async def test_an_owner_with_a_long_lease_pauses_while_no_renewal_is_answered():
     """Guards against actions that the successor does not expect any more."""
     cell = Cell()
