--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -44,8 +44,9 @@
     * RESERVED: room is reserved while a ticket is requested.
     * ORDERED: the start order has been sent.
     * RUNNING: the host has confirmed the run.
-    * UNCLEAR: the start order was not answered. The run may exist or may still begin, so it keeps
-      its room until a report of the host shows whether it does.
+    * UNCLEAR: the start order was not answered, or it is not known which incarnation of the host
+      has answered it. The run may exist or may still begin, so it keeps its room until a report of
+      the host shows whether it does.
     """
 
     RESERVED = "reserved"
--- a/tests/dispatch/test_retries.py
+++ b/tests/dispatch/test_retries.py
@@ -138,14 +138,21 @@
     assert run_of(world, order).phase is RunPhase.RUNNING
 
 
+def restart(world: World, id: str):
+    """Restart a host under its id, with a clock that begins at 0."""
+    host = world.hosts[id]
+    host.running.clear()
+    host.incarnation += 1
+    host.clock_offset = -world.now
+    return host
+
+
 def test_a_late_answer_of_a_former_incarnation_does_not_settle_a_start():
     """Guards against a run that never ends because its last known time is on a former clock."""
     world = World("a", "b")
     world.add(job("j", step()))
     order = first_start(world)
-    part = world.hosts[order.host]
-    part.incarnation = 2
-    part.clock_offset = -world.now
+    restart(world, order.host)
     world.deliver_reports()
     world.answer(order, Started(clock_s=world.now + 100.0))
     (stop,) = world.decide(0.1)
@@ -160,14 +167,12 @@
     world = World("a", "b")
     world.add(job("j", step()))
     order = first_start(world)
-    part = world.hosts[order.host]
-    part.incarnation = 2
-    part.clock_offset = -world.now
-    before = world.now
-    report = part.report(world.now)
+    host = restart(world, order.host)
+    sent_at = world.now
+    report = host.report(world.now)
     world.now += 0.2
     world.accept(order)
-    world.dispatcher.handle_report(part.id, report, sent_at=before, now=world.now)
+    world.dispatcher.handle_report(host.id, report, sent_at=sent_at, now=world.now)
     assert world.starts(0.1) == []
     world.deliver_reports()
     assert run_of(world, order).phase is RunPhase.RUNNING
