End the unclear runs of a host that never reports after its restart

Found while looking for the class of the run on a restarted host. Callers would see a job that never ends: its task is neither running nor started again until the owner changes.

Cause: a run that may have reached the new incarnation keeps its room until that incarnation reports. If it is gone before it does, there is no clock on which its leases could run out, and a host with runs is never forgotten.

Change: such runs end 12 s, the longest time after which an order is carried out, and one longest lease after the restart was noticed.

--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -14,6 +14,10 @@
 LEASE_EXPIRY_MARGIN_S = 0.3
 
 
+# A host may carry out an order this long after it was sent.
+MAX_ORDER_DELAY_S = 12.0
+
+
 @frozen(kw_only=True, slots=True)
 class HostClock:
     """One reading of a host's clock.
@@ -199,3 +203,15 @@
         if self.clock is None:
             return False
         return self.clock.lower_bound(now) > self.leases_until_s + LEASE_EXPIRY_MARGIN_S
+
+    def silent_since_restart(self, now: float, lease_s: float) -> bool:
+        """Return whether all its runs must have ended, as its new incarnation has never reported.
+
+        Orders to the former incarnation may have reached the new one, whose clock is unknown.
+
+        :param lease_s: maximum task lease that the host grants, in seconds.
+        """
+        if self.clock is not None or self.restarted_at == float("-inf"):
+            return False
+        longest_lease_s = lease_s * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
+        return now - self.restarted_at > MAX_ORDER_DELAY_S + longest_lease_s
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -359,14 +359,12 @@
         """
         events: list[RunEvent] = []
         for host in list(self.hosts.values()):
-            if host.clock is not None and host.leases_expired(now):
+            if host.leases_expired(now) or host.silent_since_restart(now, self.lease_s):
                 host.clock = None
-                for run in list(host.runs.values()):
-                    events.append(
-                        self._end_run(
-                            host, run, EndKind.LAPSED, "the host is silent past its leases"
-                        )
-                    )
+                events += [
+                    self._end_run(host, run, EndKind.LAPSED, "the host is silent past its leases")
+                    for run in list(host.runs.values())
+                ]
             # An adopted host without runs is idle, even if its leases have not expired. It is
             # removed at once; otherwise the next takeover would wait for a host that has left.
             idle = host.adopted and not host.unknown_runs
