Tell a request that was not recorded in time from one without a slot

The one 504 "not run" after 20 s in a silent outage can't be explained from what is kept: a deadline that passes while the request is being recorded has the same answer as one that passes while it waits for a runner, and no process says that a record took long.

A request that was not recorded by its deadline is now answered "not-recorded-in-time", a record that takes 3 s or more is logged by the scheduler with the verdict, and the outage test shows the answer's body where it fails; its checks are as they were.

--- a/rhubarbferry/frontend/forward.py
+++ b/rhubarbferry/frontend/forward.py
@@ -309,7 +309,7 @@
         )
         match intent:
             case IntentNotRecorded(timed_out=True):
-                await self._send_problem(req, problems.no_slot_in_time())
+                await self._send_problem(req, problems.not_recorded_in_time())
             case IntentNotRecorded(reason=reason, retry_after_s=retry_after_s):
                 await self._send_problem(req, problems.refused(reason, retry_after_s))
             case DuplicateKey(reply=reply):
--- a/rhubarbferry/frontend/problems.py
+++ b/rhubarbferry/frontend/problems.py
@@ -174,6 +174,18 @@
     )
 
 
+def not_recorded_in_time() -> Problem:
+    """Return the problem of a deadline that passed before the request was recorded."""
+    return Problem(
+        status=504,
+        type="not-recorded-in-time",
+        outcome=Outcome.NOT_RUN,
+        detail="the deadline passed before the request was recorded",
+        remedy="Send it again later, or with a longer Request-Timeout.",
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
+
+
 def outcome_unknown(detail: str, *, timeout: bool, idempotent: bool) -> Problem:
     """Return the problem of a request that may or may not have been run."""
     remedy = (
--- a/rhubarbferry/scheduler/intents.py
+++ b/rhubarbferry/scheduler/intents.py
@@ -46,6 +46,8 @@
 BUSY_RETRY_DELAY_MS = 200
 EXPIRY_MARGIN_MS = 2000
 MAINTENANCE_INTERVAL_S = 1.0
+# A request that took this long to be recorded is logged.
+SLOW_BEGIN_S = 3.0
 MAX_COMMITTING_KEYS = 4096
 MAX_WITHDRAWN_REQUESTS = 4096
 
@@ -126,7 +128,17 @@
 
     async def begin(self, req: IntentRequest) -> IntentReply:
         """Commit an intent, or return the state recorded for its key."""
+        started_at = self.ctx.clock.monotonic()
         reply = await self._begin(req)
+        took_s = self.ctx.clock.monotonic() - started_at
+        if took_s >= SLOW_BEGIN_S:
+            logger.warning(
+                "request {} of partition {} took {:.1f} s to be recorded: {}",
+                req.request_id,
+                req.partition,
+                took_s,
+                reply.verdict.name.lower(),
+            )
         metrics.INTENTS.labels(reply.verdict.name.lower()).inc()
         return reply
 
--- a/tests/frontend/test_forward.py
+++ b/tests/frontend/test_forward.py
@@ -412,6 +412,29 @@
     assert "Retry-After" in headers and runner.record == []
 
 
+@pytest.mark.parametrize(
+    ("method", "call", "type"),
+    [
+        ("POST", "begin_request", "not-recorded-in-time"),
+        ("POST", "grant", "no-slot-in-time"),
+        ("GET", "grant", "no-slot-in-time"),
+    ],
+)
+async def test_an_answer_at_the_deadline_names_what_was_waited_for(
+    harness, method, call, type
+) -> None:
+    """Guards against a request that waited for its record and is said to have had no runner."""
+    await harness.add_runner()
+
+    async def hang(req: object) -> None:
+        await asyncio.Event().wait()
+
+    harness.scheduler.overrides[call] = hang
+    status, headers, body = await harness.request(method, Request_Timeout="0.5")
+    assert (status, headers["Outcome"]) == (504, "not-run")
+    assert json.loads(body)["type"].endswith(type)
+
+
 async def test_a_lost_reply_to_an_intent_releases_the_key(harness) -> None:
     """The reply to a recorded intent is lost, and the repeated call finds the key in use.
 
--- a/tests/processes/test_store_outage.py
+++ b/tests/processes/test_store_outage.py
@@ -28,6 +28,7 @@
 RECOVERY_TIMEOUT_S = 8.9
 SETTLE_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
+MAX_KEPT_BODY = 300
 STORE_TIMEOUT_S = 1.0
 # A write without an answer is verified by a read, and each call has its own timeout.
 UNSETTLED_WRITE_S = 2 * STORE_TIMEOUT_S + IMMEDIATE_S
@@ -49,6 +50,7 @@
 
     :param at_s: time at which the request was sent, in seconds since the start of the period.
     :param duration_s: seconds until the answer was received.
+    :param body: the start of the answer, which names the reason of a problem.
     """
 
     kind: str
@@ -58,6 +60,7 @@
     path: str
     at_s: float
     duration_s: float
+    body: str = ""
 
     @property
     def rejected(self) -> bool:
@@ -114,6 +117,7 @@
             async with cell.session.post(url, json=JOB) as answer:
                 status, headers = answer.status, answer.headers
                 outcome, retry_after = headers.get("Outcome", ""), headers.get("Retry-After", "")
+                body = await answer.read()
         else:
             keyed = {"Idempotent": "false", "Idempotency-Key": path}
             chosen = keyed if kind == "slip" else {"Idempotent": "true"}
@@ -121,6 +125,7 @@
                 frontend, path, headers={"Request-Timeout": "20", **chosen}
             )
             status, outcome, retry_after = response.status, response.outcome, response.retry_after
+            body = response.body
         results.append(
             RequestResult(
                 kind=kind,
@@ -130,6 +135,7 @@
                 path=path,
                 at_s=sent_at - begin,
                 duration_s=loop.time() - sent_at,
+                body=body[:MAX_KEPT_BODY].decode(errors="replace"),
             )
         )
         await asyncio.sleep(POLL_INTERVAL_S)
@@ -230,7 +236,7 @@
         )
         records = await cell.records("runner")
     details = [
-        f"{result.kind} {result.at_s:.1f} {result.duration_s:.2f} {result.outcome}"
+        f"{result.kind} {result.at_s:.1f} {result.duration_s:.2f} {result.outcome} {result.body}"
         for result in keyed_results
     ]
     ran = {execution["path"] for record in records for execution in record["executions"]}
