Grant longer leases after slow answers only, not after an outage

Suspected cause: an outage lets the lease of every process run out, so that all of them had leases of 4 s in place of 1.5 s from then on, and the keys of processes that lost power stayed for so long. 35 processes whose leases were long already held them until 34.9 s and asked for a new one later.

Change: what makes leases longer is a slow answer to a renewal (0.5 s) within the last 30 s, which an outage does not give, and no longer the end of a lease.

Evidence: the new case of an outage failed before.

--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -15,9 +15,9 @@
 # Short, because an owner that no process can ping is replaced only when its lease expires. Long
 # enough to survive a slow store and two lost renewals.
 LEASE_TTL_S = 1.5
-# Used for a while after a lease has expired in spite of its renewals. On a slow link their answers
-# wait behind other transfers, and a new owner that lost its lease while it reads the jobs would
-# have to read them again.
+# Used for a while after a slow renewal. On a busy link the answers of renewals wait behind other
+# transfers, and a new owner that lost its lease while it reads the jobs would have to read them
+# again. An outage of the store is no reason: the keys of a process that has died would only stay.
 LONG_LEASE_TTL_S = 4.0
 LONG_LEASE_PERIOD_S = 30.0
 RENEWAL_INTERVAL_S = 0.3
@@ -25,7 +25,7 @@
 # by 2 %.
 CLOCK_MARGIN_S = 0.1
 GRANT_RETRY_INTERVAL_S = 0.2
-# A renewal that takes this long is logged.
+# A renewal that takes this long is slow. A slow but idle store answers sooner.
 SLOW_RENEWAL_S = 0.5
 # The store counts as responsive for this long after an answer: the renewal interval plus the answer
 # time of a slow store.
@@ -95,7 +95,6 @@
             if self.lease is None:
                 await self._grant()
             elif not self.lease.holds(self.clock.monotonic()):
-                self._long_leases_until = self.clock.monotonic() + LONG_LEASE_PERIOD_S
                 self._discard("it was not extended in time")
             else:
                 # Renewals may overlap. If each waited for the one before, a renewal on a dead
@@ -157,6 +156,7 @@
             took_s = self.answered_at - sent_at
             self._answer_times.record(took_s)
             if took_s >= SLOW_RENEWAL_S:
+                self._long_leases_until = self.answered_at + LONG_LEASE_PERIOD_S
                 self.log.emit("lease.extended_late", lease=lease.id, took_s=round(took_s, 3))
             if self.lease is not None and self.lease.id == lease.id:
                 self.lease = self.lease.renewed(asked_at=sent_at, ttl_s=ttl_s)
--- a/tests/cell/test_lease.py
+++ b/tests/cell/test_lease.py
@@ -14,6 +14,7 @@
     LONG_LEASE_TTL_S,
     LOST_STORE_MAX_AGE_S,
     RENEWAL_INTERVAL_S,
+    SLOW_RENEWAL_S,
     STORE_ANSWER_MAX_AGE_S,
     LeaseKeeper,
 )
@@ -58,27 +59,42 @@
         self.keeper = LeaseKeeper(clock=self.clock, store=self.store, log=FakeEventLog())
         self.running = asyncio.create_task(self.keeper.run())
 
-    async def lose_lease(self) -> None:
-        """Let the answers to all renewals take longer than the lease."""
+    async def lose_lease(self, *, late_answer: bool = True) -> None:
+        """Let the answers to all renewals take longer than the lease.
+
+        :param late_answer: whether the answer to one renewal before them is slow.
+        """
+        if late_answer:
+            self.store.answer_s = SLOW_RENEWAL_S
+            await self.clock.advance(RENEWAL_INTERVAL_S + SLOW_RENEWAL_S)
         self.store.answer_s = 2 * LONG_LEASE_TTL_S
         await self.clock.advance(LEASE_TTL_S + RENEWAL_INTERVAL_S)
         self.store.answer_s = 0.0
         await self.clock.advance(RENEWAL_INTERVAL_S)
 
 
-async def test_a_lease_that_ran_out_is_granted_for_longer():
+async def test_a_lease_that_ran_out_after_slow_answers_is_granted_for_longer():
     """Guards against an owner that loses its lease each time it reads the jobs."""
     cell = Cell()
     await cell.clock.advance(RENEWAL_INTERVAL_S)
     await cell.lose_lease()
-    await cell.clock.advance(LONG_LEASE_PERIOD_S)
-    await cell.clock.advance(1.0)
+    # The slow answers that were under way arrive first.
+    await cell.clock.advance(2 * LONG_LEASE_TTL_S + LONG_LEASE_PERIOD_S + 1.0)
     cell.keeper.drop("test")
     await cell.clock.advance(RENEWAL_INTERVAL_S)
     cell.running.cancel()
     assert cell.store.granted_ttl_s == [LEASE_TTL_S, LONG_LEASE_TTL_S, LEASE_TTL_S]
 
 
+async def test_a_lease_that_ran_out_in_an_outage_is_granted_as_before():
+    """Guards against keys of dead processes that stay for long after an outage of the store."""
+    cell = Cell()
+    await cell.clock.advance(RENEWAL_INTERVAL_S)
+    await cell.lose_lease(late_answer=False)
+    cell.running.cancel()
+    assert cell.store.granted_ttl_s == [LEASE_TTL_S, LEASE_TTL_S]
+
+
 @pytest.mark.parametrize(
     ("answer_s", "lost_after_s"),
     [
