Send requests that a hand-over overtakes to the successor

Cause: when a partition is reassigned, its tenure ends at once and the log is closed. Keyed requests that were queued for the log, or that arrived before the registry was closed, were refused as if the store were down, although the successor serves 0.2 s later.

Change: with the tenure ended and nothing written, the answer is "not owner", which the frontend follows to the successor. A request whose write is under way as the log closes is still refused: the successor cannot tell its record from that of a client that repeats the request.

Shown: both cases of the new test failed before and pass now. test_spill itself was not played in a loop.

--- a/rhubarbferry/ports/ownership.py
+++ b/rhubarbferry/ports/ownership.py
@@ -106,6 +106,11 @@
         """The epoch under which the partition was acquired."""
         ...
 
+    @property
+    def ended(self) -> bool:
+        """Whether the tenure has ended permanently, as when the partition was reassigned."""
+        ...
+
     def holds(self) -> bool:
         """Return whether this process may act now; check it right before each action."""
         ...
--- a/rhubarbferry/scheduler/intents.py
+++ b/rhubarbferry/scheduler/intents.py
@@ -143,7 +143,7 @@
         return reply
 
     async def _begin(self, req: IntentRequest) -> IntentReply:
-        if not self._owns(req.epoch):
+        if not self._owns(req.epoch) or self.tenure.ended:
             return self._reply(IntentVerdict.NOT_OWNER)
         if not self.tenure.holds():
             # During a store outage no process can take over, so "not owner" would make the
@@ -213,6 +213,9 @@
             self._pending_cancellations[at] = _Cancellation(at=at, request_id=begun.request_id)
             return self._refusal("the store did not answer", STORE_RETRY_DELAY_MS)
         except LogError as exc:
+            if self.tenure.ended:
+                # Nothing was written, and the successor can record the intent.
+                return self._reply(IntentVerdict.NOT_OWNER)
             return self._refusal(f"nothing can be recorded now: {exc}", STORE_RETRY_DELAY_MS)
         finally:
             self._committing.pop(at).set()
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -39,9 +39,10 @@
     partition: PartitionId = PARTITION
     epoch: int = 1
     held: bool = True
+    ended: bool = False
 
     def holds(self) -> bool:
-        return self.held
+        return self.held and not self.ended
 
 
 @define(kw_only=True)
--- a/tests/scheduler/test_intents.py
+++ b/tests/scheduler/test_intents.py
@@ -223,6 +223,29 @@
     assert harness.log.entries == []
 
 
+@pytest.mark.parametrize("queued", [False, True], ids=["received later", "queued"])
+async def test_a_request_that_a_hand_over_overtakes_is_sent_to_the_successor(
+    harness, queued
+) -> None:
+    """The partition is reassigned while a request waits to be recorded, with nothing written.
+
+    Refused as "not run", its caller would have to come back although the successor serves it.
+    """
+    registry = await harness.start()
+    harness.log.faults = [LogUnavailable("the log is closed; it belongs to a tenure that ended")]
+    harness.log.gate = asyncio.Event()
+    if queued:
+        begin = asyncio.create_task(registry.begin(begin_request()))
+        await eventually(lambda: registry.depth() == 1)
+        harness.tenure.ended = True
+    else:
+        harness.tenure.ended = True
+        begin = asyncio.create_task(registry.begin(begin_request()))
+    harness.log.gate.set()
+    async with asyncio.timeout(BOUND_S):
+        assert (await begin).verdict == V.NOT_OWNER
+
+
 @pytest.mark.parametrize("case", ["expired", "frontend dead", "expired, then taken over"])
 async def test_a_request_without_an_outcome_becomes_unknown_and_never_runs_again(
     harness, case
