--- a/rhubarbferry/cell/cleaner.py
+++ b/rhubarbferry/cell/cleaner.py
@@ -9,7 +9,7 @@
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.term_context import OwnershipLost, TermContext
-from rhubarbferry.dispatch.record import RecordError, decode_phase
+from rhubarbferry.dispatch.record import RecordError, decode_status
 from rhubarbferry.ports.store import Conflict, StoreError, Txn
 
 # Removals are batched at this interval, because each change of a watched key costs the owner one
@@ -59,7 +59,7 @@
             id = item.key.removeprefix(keys.ENDED)
             self._ended_at.setdefault(id, now)
             try:
-                self.ctx.dispatcher.ended.setdefault(id, decode_phase(item.value))
+                self.ctx.dispatcher.ended.setdefault(id, decode_status(item.value))
             except RecordError as exc:
                 self.ctx.process.log.emit("job.unreadable", job=id, reason=str(exc))
         for id in sorted(self.without_state):
--- a/rhubarbferry/cell/fallback_calls.py
+++ b/rhubarbferry/cell/fallback_calls.py
@@ -14,7 +14,7 @@
 from rhubarbferry.cell.members import CellView, Member
 from rhubarbferry.cell.owner_client import OwnerClient
 from rhubarbferry.cell.peers import PeerClient
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobStatus
 from rhubarbferry.dispatch.record import JobRecord
 from rhubarbferry.ports.clock import Clock
 
@@ -29,6 +29,9 @@
 PEER_TIMEOUT_S = 1.0
 MAX_PEERS_TRIED = 2
 
+# Results of a submission that need no further attempt.
+CONCLUSIVE = (Accepted.YES, Accepted.ID_TAKEN)
+
 T = TypeVar("T")
 
 
@@ -64,23 +67,24 @@
             "submit",
             self.direct.submit(record, deadline=deadline),
             via_peer,
-            conclusive=lambda verdict: verdict is Accepted.YES,
+            conclusive=lambda verdict: verdict in CONCLUSIVE,
             deadline=deadline,
         )
-        if Accepted.YES in results:
-            return Accepted.YES
+        for result in results:
+            if result in CONCLUSIVE:
+                return result
         # After any attempt that may have written the job, it is not known whether the job will run.
         return Accepted.UNCLEAR if Accepted.UNCLEAR in results else Accepted.NO
 
-    async def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job, or ``None`` when there is no such job."""
-        owned_phase = await self.owner.phase(id)
-        if owned_phase is not None:
-            return owned_phase
+    async def status(self, id: str) -> JobStatus | None:
+        """Return the status of a job, or ``None`` when there is no such job."""
+        owned_status = await self.owner.status(id)
+        if owned_status is not None:
+            return owned_status
 
         async def read(
-            attempt: Coroutine[Any, Any, JobPhase | None],
-        ) -> JobPhase | None | PhaseUnknown:
+            attempt: Coroutine[Any, Any, JobStatus | None],
+        ) -> JobStatus | None | PhaseUnknown:
             try:
                 return await attempt
             except PhaseUnknown as exc:
@@ -88,8 +92,8 @@
 
         results = await self._call_with_fallback(
             "phase",
-            read(self.direct.phase(id)),
-            lambda member: read(self.peers.phase(member, id)),
+            read(self.direct.status(id)),
+            lambda member: read(self.peers.status(member, id)),
             conclusive=lambda result: not isinstance(result, PhaseUnknown),
             deadline=self.clock.monotonic() + MAX_PEERS_TRIED * PEER_TIMEOUT_S,
         )
@@ -98,16 +102,16 @@
                 return result
         raise PhaseUnknown("; ".join(str(result) for result in results)[:200])
 
-    async def cancel(self, id: str, *, deadline: float) -> Cancelled:
+    async def cancel(self, id: str, *, account: str | None, deadline: float) -> Cancelled:
         """Record the cancellation of a job."""
 
         async def via_peer(member: Member) -> Cancelled:
             timeout_s = min(PEER_TIMEOUT_S, deadline - self.clock.monotonic())
-            return await self.peers.cancel(member, id, timeout_s=timeout_s)
+            return await self.peers.cancel(member, id, account=account, timeout_s=timeout_s)
 
         results = await self._call_with_fallback(
             "cancel",
-            self.direct.cancel(id, deadline=deadline),
+            self.direct.cancel(id, account=account, deadline=deadline),
             via_peer,
             conclusive=lambda verdict: verdict is not Cancelled.NOT_NOW,
             deadline=deadline,
--- a/rhubarbferry/cell/job_calls.py
+++ b/rhubarbferry/cell/job_calls.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobStatus
 from rhubarbferry.dispatch.record import JobRecord
 
 
@@ -14,6 +14,7 @@
 
     YES = "accepted"
     NO = "not accepted, and it never runs"
+    ID_TAKEN = "not accepted: a job of another account has this id"
     UNCLEAR = "may have been accepted"
 
 
@@ -39,16 +40,18 @@
         """
         ...
 
-    async def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job, or ``None`` when there is no such job.
+    async def status(self, id: str) -> JobStatus | None:
+        """Return the status of a job, or ``None`` when there is no such job.
 
-        :raises PhaseUnknown: when the phase can't be read at present.
+        :raises PhaseUnknown: when the status can't be read at present.
         """
         ...
 
-    async def cancel(self, id: str, *, deadline: float) -> Cancelled:
+    async def cancel(self, id: str, *, account: str | None, deadline: float) -> Cancelled:
         """Record the cancellation of a job; the owner of the cell reads it from the store.
 
+        :param account: account of the caller, which can't cancel the jobs of other accounts;
+            ``None`` to cancel the job of any account.
         :param deadline: monotonic time by which the client must have its answer.
         """
         ...
--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -10,12 +10,12 @@
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.prefix_watch import PrefixWatcher
 from rhubarbferry.cell.term_context import OwnershipLost, TermContext
-from rhubarbferry.dispatch.job import Job, JobPhase
+from rhubarbferry.dispatch.job import Job
 from rhubarbferry.dispatch.record import (
     JobRecord,
     RecordError,
     decode_request,
-    encode_phase,
+    encode_status,
     restore_state,
 )
 from rhubarbferry.ports.store import (
@@ -183,10 +183,6 @@
         if state is None and inherited:
             self.without_state.add(id)
             return
-        if state is None:
-            # The request and the state are created in one transaction, at the same revision, and
-            # only this owner writes the state after that.
-            state = evolve(kv, key=keys.STATES + id, value=encode_phase(JobPhase.QUEUED))
         try:
             job = self._make_job(kv, state, inherited=inherited)
         except RecordError as exc:
@@ -198,6 +194,7 @@
             "job.taken",
             job=id,
             queue=job.queue.name,
+            account=job.account_name or None,
             revision=kv.mod_revision,
             inherited=inherited,
             tasks=[step.count for step in job.req.steps],
@@ -205,13 +202,19 @@
             outcome=job.phase.value,
         )
 
-    def _make_job(self, kv: KeyValue, state: KeyValue, *, inherited: bool) -> Job:
+    def _make_job(self, kv: KeyValue, state: KeyValue | None, *, inherited: bool) -> Job:
         record = decode_request(kv.value)
+        if state is None:
+            # The request and the state are created in one transaction, at the same revision, and
+            # only this owner writes the state after that.
+            value = encode_status(record.initial_status)
+            state = evolve(kv, key=keys.STATES + record.req.id, value=value)
         routes = self.ctx.process.routes()
         queue = routes.queues.get(record.queue.name) if routes is not None else None
         job = Job(
             req=record.req,
             queue=queue or record.queue,
+            account=record.account,
             arrived_at=self.ctx.now() - (self._age_s(record) if inherited else 0.0),
             record_revision=state.mod_revision,
             inherited=inherited,
--- a/rhubarbferry/cell/owner_calls.py
+++ b/rhubarbferry/cell/owner_calls.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobStatus
 
 
 @frozen(kw_only=True, slots=True)
@@ -36,8 +36,8 @@
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         ...
 
-    def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job, or ``None`` if unknown."""
+    def status(self, id: str) -> JobStatus | None:
+        """Return the status of a job, or ``None`` if unknown."""
         ...
 
     def add_accepted(self, job: AcceptedJob) -> bool:
--- a/rhubarbferry/cell/owner_client.py
+++ b/rhubarbferry/cell/owner_client.py
@@ -11,7 +11,7 @@
 from rhubarbferry.cell.members import CellView, Member
 from rhubarbferry.cell.owner_calls import AcceptedJob, OwnerCalls
 from rhubarbferry.cell.peers import NoReply, PeerClient
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobStatus
 from rhubarbferry.ports.clock import Clock
 
 OWNER_REQUESTS = Counter("rhubarbferry_owner_questions_total", "Requests to the owner", ["outcome"])
@@ -67,18 +67,18 @@
         taken = await self.peers.job_accepted(owner, job)
         OWNER_REQUESTS.labels("notified" if taken else "not notified").inc()
 
-    async def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job from the owner, or ``None`` if the owner can't report it."""
+    async def status(self, id: str) -> JobStatus | None:
+        """Return the status of a job from the owner, or ``None`` if the owner can't report it."""
         term = self.term()
         if term is not None:
-            return term.phase(id)
+            return term.status(id)
         ownership = self.view.ownership
         if ownership is None or ownership.owner.name == self.own.name:
             return None
         now = self.clock.monotonic()
         if ownership.fence == self._unresponsive_fence and now < self._retry_at:
             return None
-        reply = await self.peers.owned_phase(ownership.owner, id, timeout_s=OWNER_TIMEOUT_S)
+        reply = await self.peers.owned_status(ownership.owner, id, timeout_s=OWNER_TIMEOUT_S)
         if isinstance(reply, NoReply):
             self._unresponsive_fence = ownership.fence
             self._retry_at = now + OWNER_BACKOFF_S
--- a/rhubarbferry/cell/peer_server.py
+++ b/rhubarbferry/cell/peer_server.py
@@ -115,8 +115,10 @@
 
     async def _owned_phase(self, req: OwnedPhaseRequest) -> OwnedPhaseReply:
         term = self._current_term()
-        phase = term.phase(req.job) if term is not None else None
-        return OwnedPhaseReply(phase=phase.value if phase is not None else None)
+        status = term.status(req.job) if term is not None else None
+        if status is None:
+            return OwnedPhaseReply()
+        return OwnedPhaseReply(phase=status.phase.value, account=status.account)
 
     async def _submit(self, req: RelayedSubmit) -> RelayedSubmitReply:
         deadline = self._clock.monotonic() + req.timeout_ms / 1000
@@ -131,14 +133,16 @@
 
     async def _phase(self, req: RelayedPhase) -> RelayedPhaseReply:
         try:
-            phase = await self._jobs.phase(req.job)
+            status = await self._jobs.status(req.job)
         except PhaseUnknown:
             return RelayedPhaseReply(read=False)
-        return RelayedPhaseReply(read=True, phase=phase.value if phase is not None else None)
+        if status is None:
+            return RelayedPhaseReply(read=True)
+        return RelayedPhaseReply(read=True, phase=status.phase.value, account=status.account)
 
     async def _cancel(self, req: RelayedCancel) -> RelayedCancelReply:
         deadline = self._clock.monotonic() + req.timeout_ms / 1000
-        result = await self._jobs.cancel(req.job, deadline=deadline)
+        result = await self._jobs.cancel(req.job, account=req.account, deadline=deadline)
         return RelayedCancelReply(
             recorded=result is not Cancelled.NOT_NOW,
             known=result is not Cancelled.UNKNOWN_JOB,
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -12,7 +12,7 @@
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, PhaseUnknown
 from rhubarbferry.cell.members import Member
 from rhubarbferry.cell.owner_calls import AcceptedJob
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobPhase, JobStatus
 from rhubarbferry.dispatch.messages import Approval, StepId
 from rhubarbferry.dispatch.record import JobRecord, encode_request
 from rhubarbferry.ports.workers import Approvals, WorkerSilent
@@ -22,11 +22,13 @@
 from rhubarbferry.rpc.gen.ttypes import (
     ApprovalRequest,
     JobNotice,
+    OwnedPhaseReply,
     OwnedPhaseRequest,
     PendingRequest,
     PingRequest,
     RelayedCancel,
     RelayedPhase,
+    RelayedPhaseReply,
     RelayedSubmit,
     StoreReachRequest,
     TakeOverRequest,
@@ -55,6 +57,7 @@
     Accepted.YES: WireAcceptance.ACCEPTED,
     Accepted.NO: WireAcceptance.NOT_ACCEPTED,
     Accepted.UNCLEAR: WireAcceptance.UNCLEAR,
+    Accepted.ID_TAKEN: WireAcceptance.ID_TAKEN,
 }
 
 
@@ -117,17 +120,17 @@
             return False
         return reply.taken
 
-    async def owned_phase(
+    async def owned_status(
         self, member: Member, id: str, *, timeout_s: float
-    ) -> JobPhase | NoReply | None:
-        """Return the phase of a job according to the owner, ``None`` when the owner has none."""
+    ) -> JobStatus | NoReply | None:
+        """Return the status of a job according to the owner, ``None`` when the owner has none."""
         try:
             reply = await self._call(
                 member, "owned_phase", OwnedPhaseRequest(job=id), timeout_s=timeout_s
             )
         except RpcError as exc:
             return NoReply(reason=str(exc))
-        return JobPhase(reply.phase) if reply.phase is not None else None
+        return _status(reply)
 
     async def ask_approval(
         self, member: Member, step: StepId, hosts: tuple[str, ...], *, timeout_s: float
@@ -203,8 +206,8 @@
             return Accepted.UNCLEAR
         return next(verdict for verdict, wire in WIRE_VERDICTS.items() if wire == reply.accepted)
 
-    async def phase(self, member: Member, id: str) -> JobPhase | None:
-        """Read the phase of a job through another process.
+    async def status(self, member: Member, id: str) -> JobStatus | None:
+        """Read the status of a job through another process.
 
         :raises PhaseUnknown: when that process can't read it either.
         """
@@ -216,11 +219,15 @@
             raise PhaseUnknown(f"{member.name}: {exc}") from exc
         if not reply.read:
             raise PhaseUnknown(f"{member.name} can't read the phase either")
-        return JobPhase(reply.phase) if reply.phase is not None else None
+        return _status(reply)
 
-    async def cancel(self, member: Member, id: str, *, timeout_s: float) -> Cancelled:
+    async def cancel(
+        self, member: Member, id: str, *, account: str | None, timeout_s: float
+    ) -> Cancelled:
         """Record a cancellation through another process."""
-        req = RelayedCancel(job=id, timeout_ms=int((timeout_s - REPLY_MARGIN_S) * 1000))
+        req = RelayedCancel(
+            job=id, timeout_ms=int((timeout_s - REPLY_MARGIN_S) * 1000), account=account
+        )
         try:
             reply = await self._call(member, "cancel", req, timeout_s=timeout_s)
         except RpcError:
@@ -232,3 +239,10 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.close()
+
+
+def _status(reply: OwnedPhaseReply | RelayedPhaseReply) -> JobStatus | None:
+    """Decode a status; a process of an older build sends no account."""
+    if reply.phase is None:
+        return None
+    return JobStatus(phase=JobPhase(reply.phase), account=reply.account or "")
--- a/rhubarbferry/cell/routes.py
+++ b/rhubarbferry/cell/routes.py
@@ -6,16 +6,21 @@
 
 from attrs import Factory, define, field, frozen
 
+from rhubarbferry.cell.accounts import AccountTable
 from rhubarbferry.dispatch.messages import Queue
 
 
 @frozen(kw_only=True, slots=True)
 class Route:
-    """Assign requests for ``host`` whose path begins with ``prefix`` to ``queue``."""
+    """Assign requests for ``host`` whose path begins with ``prefix`` to ``queue``.
+
+    :param public: whether its calls need no API key.
+    """
 
     host: str
     prefix: str
     queue: Queue
+    public: bool = False
 
 
 # Largest request body accepted while no limit is configured.
@@ -34,7 +39,7 @@
 
 @define(kw_only=True, eq=False)
 class RouteTable:
-    """Routes and limits of the configuration in force.
+    """Routes, limits and client accounts of the configuration in force.
 
     The index is built once per revision: by host, then by prefix with the longest first, so that
     the cost of a request does not depend on the number of routes of other hosts.
@@ -48,6 +53,7 @@
     revision: int
     routes: Iterable[Route]
     limits: Limits = Factory(Limits)
+    accounts: AccountTable = Factory(AccountTable)
     queues: dict[str, Queue] = field(init=False)
     _by_host: dict[str, list[Route]] = field(init=False)
 
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -6,7 +6,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.cleaner import Cleaner
@@ -23,7 +23,7 @@
 from rhubarbferry.cell.term_context import OwnershipLost, ProcessContext, Tenure, TermContext
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.hosts import LEASE_EXPIRY_MARGIN_S, MAX_CLOCK_DRIFT
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobPhase, JobStatus
 from rhubarbferry.dispatch.messages import HostEntry, Sizes
 from rhubarbferry.dispatch.roster import apply_roster, close_unavailable_hosts, next_roster
 from rhubarbferry.dispatch.takeover import Takeover
@@ -112,8 +112,8 @@
             return None
         return self.ctx.dispatcher.count_pending(queue)
 
-    def phase(self, id: str) -> JobPhase | None:
-        """Return the phase of a job, or ``None`` if unknown.
+    def status(self, id: str) -> JobStatus | None:
+        """Return the status of a job, or ``None`` if unknown.
 
         A final phase is reported only once it is stored. Otherwise a client could see a job as
         complete and the next owner could run it again.
@@ -124,7 +124,7 @@
         job = dispatcher.jobs.get(id)
         if job is None:
             return dispatcher.ended.get(id)
-        return JobPhase.RUNNING if job.phase.final else job.phase
+        return evolve(job.status, phase=JobPhase.RUNNING) if job.phase.final else job.status
 
     def add_accepted(self, job: AcceptedJob) -> bool:
         """Add a job that was accepted under this ownership.
@@ -358,7 +358,7 @@
         now = self.ctx.now()
         routes = self.process.routes()
         if routes is not None:
-            dispatcher.configure(routes.queues, now=now)
+            dispatcher.configure(routes.queues, routes.accounts.settings, now=now)
         if now - self._rechecked_at >= STEP_RECHECK_INTERVAL_S:
             self._rechecked_at = now
             dispatcher.reconsider_all()
--- a/rhubarbferry/dispatch/candidates.py
+++ b/rhubarbferry/dispatch/candidates.py
@@ -40,7 +40,7 @@
 
         :param changed: hosts whose free room or state has changed since the last call.
         """
-        found = {step for step in self._included if step in self.waiting}
+        found = {step for step in self._included if self._is_candidate(step)}
         self._included.clear()
         if changed:
             max_millicores = max(host.room.millicores for host in changed)
@@ -55,10 +55,13 @@
         """Return the next candidate that still waits, or ``None`` if none is left."""
         while self._queue:
             step = self._queue.popleft()
-            if step in self.waiting:
+            if self._is_candidate(step):
                 return step
         return None
 
+    def _is_candidate(self, step: Step) -> bool:
+        return step in self.waiting and not self.waiting.is_blocked(step)
+
     def postpone(self) -> None:
         """Return the remaining candidates to the pool, to be sorted again with newer ones."""
         self._included.update(dict.fromkeys(self._queue))
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, field
@@ -24,9 +25,10 @@
 from rhubarbferry.dispatch.evacuation import runs_to_stop
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.hung import hung_runs
-from rhubarbferry.dispatch.job import Job, JobPhase, Run, RunPhase, Step, Task
+from rhubarbferry.dispatch.job import Job, JobPhase, JobStatus, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
     FULL_PERCENT,
+    Account,
     ApprovalRequest,
     ApprovalResponse,
     EndKind,
@@ -44,9 +46,10 @@
 from rhubarbferry.dispatch.pacing import Pacing
 from rhubarbferry.dispatch.placement import Placement, place
 from rhubarbferry.dispatch.preemption import Holds
+from rhubarbferry.dispatch.quotas import Quotas
 from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.dispatch.tracker import RunEnded, RunEvent, RunRefused, Tracker
-from rhubarbferry.dispatch.waiting import WaitingSteps
+from rhubarbferry.dispatch.waiting import BlockKey, WaitingSteps
 
 # A host that refused a start because of its own state receives no new task for this long.
 REFUSAL_BACKOFF_S = 0.5
@@ -81,7 +84,7 @@
         them.
     :param lease_s: maximum task lease that a host grants, in seconds.
     :ivar dirty: jobs whose state in the store is out of date, in the order of their first change.
-    :ivar ended: final phase of each job whose end has been written to the store.
+    :ivar ended: final status of each job whose end has been written to the store.
     :ivar run_events: ended and refused runs that the caller has not logged yet.
     """
 
@@ -89,8 +92,9 @@
     lease_s: float
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
-    ended: dict[str, JobPhase] = Factory(dict)
+    ended: dict[str, JobStatus] = Factory(dict)
     run_events: list[RunEvent] = Factory(list)
+    quotas: Quotas = Factory(Quotas)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
     holds: Holds = Factory(Holds)
@@ -106,7 +110,7 @@
     _approved_shares: dict[str, ApprovedShare] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
-        self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s)
+        self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s, quotas=self.quotas)
         self._candidates = Candidates(waiting=self.waiting)
 
     # ------------------------------------------------------------ jobs
@@ -114,13 +118,16 @@
     def add_job(self, job: Job, *, now: float, wall_s: float) -> None:
         """Add an accepted job, either a new one or one inherited from an earlier owner."""
         self.jobs[job.id] = job
-        if job.inherited:
-            self._unresolved_jobs[job.id] = job
+        if job.account is not None:
+            self.quotas.add_account(job.account)
         if job.req.times > 0:
             self._repeated_jobs[job.id] = job
             job.create_due_occurrences(now, wall_s)
         elif not job.occurrences:
             job.add_occurrence(0, now)
+        if job.inherited:
+            self._unresolved_jobs[job.id] = job
+            self.quotas.assume_running(job)
         for step in job.steps():
             if step.done_count or step.ever_started:
                 job.started = True
@@ -139,13 +146,19 @@
             self.jobs.pop(job.id, None)
             self._unresolved_jobs.pop(job.id, None)
             self._repeated_jobs.pop(job.id, None)
-            self.ended[job.id] = job.phase
+            self.ended[job.id] = job.status
 
-    def configure(self, queues: Mapping[str, Queue], *, now: float) -> None:
-        """Apply a new configuration; queues missing from it keep their previous settings."""
+    def configure(
+        self, queues: Mapping[str, Queue], accounts: Mapping[str, Account], *, now: float
+    ) -> None:
+        """Apply a new configuration.
+
+        Queues and accounts that are missing from it keep their previous settings.
+        """
         if queues is self._queues:
             return
         self._queues = queues
+        self.quotas.configure(accounts)
         for job in self.jobs.values():
             queue = queues.get(job.queue.name)
             if queue is None or queue == job.queue:
@@ -271,6 +284,7 @@
             if not step.job.phase.final and not step.done:
                 self._reconsider(step, now)
         self._resume_inherited_jobs(now)
+        self._unblock_steps()
         orders += self._place_candidates(now, starts)
         orders += self.tracker.take_orders()
         orders += self.pacing.take_orders()
@@ -292,6 +306,9 @@
         """Reconsider all hosts and all waiting steps in the next decision."""
         self._hosts_reviewed_at = float("-inf")
         self._candidates.include_all()
+        for account in self.waiting.blocked_counts():
+            # Their order may have changed with their urgency.
+            self.quotas.mark_changed(account)
 
     def _place_candidates(self, now: float, starts: float) -> list[Order]:
         """Place the next candidate steps, up to the limit of one decision."""
@@ -324,6 +341,10 @@
     def _place(self, step: Step, open_hosts: list[Host], now: float) -> list[Order]:
         if step.job.id in self._unresolved_jobs:
             return []
+        limit = self._quota_limit(step)
+        if limit == 0:
+            self._block(step)
+            return []
         approval_cost = step.job.queue.advice
         if step.approvals.awaiting_first_approval:
             return []
@@ -333,11 +354,11 @@
             allowed = [host for host in open_hosts if host.id in approved] if approved else []
         if step.req.filling:
             allowed = [host for host in allowed if self.pacing.may_fill(host)]
-        placed = self._choose_hosts(step, allowed, now)
+        placed = self._choose_hosts(step, allowed, limit, now)
         if placed:
             self.holds.drop(step)
         elif self._may_preempt(step, allowed, open_hosts):
-            self._preempt(step, allowed, now)
+            self._preempt(step, allowed, limit, now)
         orders: list[Order] = []
         if placed or approval_cost is not None:
             orders += self._reserve(step, placed, now)
@@ -348,8 +369,51 @@
             orders += [request] if request is not None else []
         if not step.waiting_tasks():
             self.waiting.discard(step)
+        elif len(placed) == limit:
+            self._block(step)
         return orders
 
+    def _quota_limit(self, step: Step) -> int:
+        """Return how many waiting tasks of a step may start within the quota of its account.
+
+        Without a limit for the steps behind a blocked one, small tasks could use all quota that
+        becomes free, and a gang of the same account would wait for good.
+        """
+        waiting = len(step.waiting_tasks())
+        if not waiting:
+            # Its reserved tasks wait for tickets, and are already part of the usage.
+            return sys.maxsize
+        free = self.quotas.free_tasks(step)
+        if free < waiting and step.req.gang:
+            return 0
+        blocked = self.waiting.blocked(BlockKey(account=step.job.account_name))
+        if blocked and step in self.waiting:
+            first = self.waiting.position(blocked[0])
+            if first < self.waiting.position(step):
+                return 0
+        return free
+
+    def _block(self, step: Step) -> None:
+        if step not in self.waiting or self.waiting.is_blocked(step):
+            return
+        oversized = self.quotas.exceeds_quota(step)
+        self.waiting.block(step, BlockKey(account=step.job.account_name, oversized=oversized))
+        self.holds.drop(step)
+
+    def _unblock_steps(self) -> None:
+        """Reconsider the blocked steps of the accounts whose free quota has grown."""
+        for account in self.quotas.take_changed():
+            for step in list(self.waiting.blocked(BlockKey(account=account, oversized=True))):
+                if not self.quotas.exceeds_quota(step):
+                    self._unblock(step)
+            blocked = self.waiting.blocked(BlockKey(account=account))
+            for step in self.quotas.startable_steps(account, blocked):
+                self._unblock(step)
+
+    def _unblock(self, step: Step) -> None:
+        self.waiting.unblock(step)
+        self._candidates.include(step)
+
     def _may_preempt(self, step: Step, allowed: list[Host], open_hosts: list[Host]) -> bool:
         """Return whether tasks of lower priority may be preempted for a step that found no room.
 
@@ -360,22 +424,24 @@
             return False
         return bool(step.waiting_tasks()) and not has_undecided_room(step, open_hosts)
 
-    def _choose_hosts(self, step: Step, allowed: list[Host], now: float) -> list[Placement]:
+    def _choose_hosts(
+        self, step: Step, allowed: list[Host], limit: int, now: float
+    ) -> list[Placement]:
         if not self.holds or step not in self.waiting:
-            return place(step, allowed, now)
-        placed = place(step, allowed, now, self.holds.held_room(excluding=step))
-        if len(placed) == len(step.waiting_tasks()):
+            return place(step, allowed, now, limit=limit)
+        held_room = self.holds.held_room(excluding=step)
+        placed = place(step, allowed, now, limit=limit, held_room=held_room)
+        if len(placed) == min(limit, len(step.waiting_tasks())):
             return placed
         # There is too little room that is not held. Also use the room held for steps that this step
         # precedes in the queue.
         position = self.waiting.position(step)
-        return place(
-            step, allowed, now, self.holds.room_held_before(position, self.waiting.positions)
-        )
+        held_room = self.holds.room_held_before(position, self.waiting.positions)
+        return place(step, allowed, now, limit=limit, held_room=held_room)
 
-    def _preempt(self, step: Step, hosts: list[Host], now: float) -> None:
+    def _preempt(self, step: Step, hosts: list[Host], limit: int, now: float) -> None:
         total = len(self.tracker.hosts)
-        for run in self.holds.hold_room(step, hosts, total=total, now=now):
+        for run in self.holds.hold_room(step, hosts, limit=limit, total=total, now=now):
             self.tracker.stop(run, f"gives way to job {step.job.id}")
 
     def _reserve(self, step: Step, placed: Iterable[Placement], now: float) -> list[Order]:
@@ -502,9 +568,11 @@
 
     def _resume_inherited_jobs(self, now: float) -> None:
         """Resume the inherited jobs that no unconfirmed host can still be running."""
-        if not self._unresolved_jobs:
+        assumed = self.quotas.assumed_jobs
+        if not self._unresolved_jobs and not assumed:
             return
         self.takeover.expire(now)
+        self.quotas.drop_assumptions(id for id in assumed if self.takeover.may_resume(id))
         for job in [
             job for job in self._unresolved_jobs.values() if self.takeover.may_resume(job.id)
         ]:
@@ -558,6 +626,9 @@
     def _finish(self, job: Job, phase: JobPhase, reason: str) -> None:
         job.phase = phase
         for step in job.steps():
+            if self.waiting.is_blocked(step):
+                # Steps behind this one may start now.
+                self.quotas.mark_changed(job.account_name)
             self.waiting.discard(step)
             self.holds.drop(step)
         for run in job.runs():
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -6,6 +6,7 @@
 
 from rhubarbferry.dispatch.job import Run
 from rhubarbferry.dispatch.messages import HostEntry, HostPhase, HostReport, Sizes, TaskId
+from rhubarbferry.dispatch.quotas import Quotas
 
 # A host's clock may run slower than this process's clock by up to this share, as the platform
 # documents.
@@ -54,6 +55,7 @@
 class Host:
     """One incarnation of a host.
 
+    :param quotas: counts its runs for the accounts of their jobs.
     :param listed: whether the host list contains it.
     :param adopted: whether it has answered under the current owner's fence. Until then it may still
         carry out an earlier owner's orders, so it receives no tasks.
@@ -77,6 +79,7 @@
     """
 
     entry: HostEntry
+    quotas: Quotas = Factory(Quotas)
     listed: bool = True
     adopted: bool = False
     closed: bool = False
@@ -173,11 +176,13 @@
         """Add a run and take its room."""
         self.runs[(run.task.id, run.attempt)] = run
         self.used = self.used.plus(run.task.step.req.room)
+        self.quotas.add(run)
 
     def remove(self, run: Run) -> None:
         """Remove a run and release its room."""
         if self.runs.pop((run.task.id, run.attempt), None) is not None:
             self.used = self.used.minus(run.task.step.req.room)
+            self.quotas.remove(run)
 
     def record_report(
         self, report: HostReport, *, sent_at: float, now: float, lease_s: float
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -5,10 +5,11 @@
 import math
 from enum import StrEnum
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from rhubarbferry.dispatch.approvals import StepApprovals
 from rhubarbferry.dispatch.messages import (
+    Account,
     JobRequest,
     Queue,
     StartOrder,
@@ -38,6 +39,17 @@
         return self in (JobPhase.COMPLETE, JobPhase.FAILED, JobPhase.CANCELLED)
 
 
+@frozen(kw_only=True, slots=True)
+class JobStatus:
+    """What a client may learn of a job.
+
+    :param account: name of the client account that submitted it; empty for none.
+    """
+
+    phase: JobPhase
+    account: str = ""
+
+
 class RunPhase(StrEnum):
     """State of one run of a task.
 
@@ -206,6 +218,7 @@
 class Job:
     """A job that has not ended.
 
+    :param account: account that submitted it, with the settings of that time; ``None`` for none.
     :param record_revision: revision of its state in the store, for a conditional write.
     :param inherited: whether it was accepted before the current owner took over, so that an earlier
         owner may have started any of its tasks.
@@ -216,6 +229,7 @@
     queue: Queue
     arrived_at: float
     record_revision: int
+    account: Account | None = None
     inherited: bool = False
     first_attempt: int = 1
     phase: JobPhase = JobPhase.QUEUED
@@ -227,6 +241,16 @@
     def __attrs_post_init__(self) -> None:
         self.critical_paths = critical_paths(self.req.steps)
 
+    @property
+    def account_name(self) -> str:
+        """Name of the account that submitted it; empty for none."""
+        return self.account.name if self.account is not None else ""
+
+    @property
+    def status(self) -> JobStatus:
+        """Its current status."""
+        return JobStatus(phase=self.phase, account=self.account_name)
+
     @property
     def objective_s(self) -> float:
         """Time within which it should be done, counted from its arrival or due time."""
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -55,6 +55,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def at_least(self, other: Sizes) -> Sizes:
+        """Return the larger value of each resource."""
+        return Sizes(
+            millicores=max(self.millicores, other.millicores),
+            memory_mb=max(self.memory_mb, other.memory_mb),
+            accelerators=max(self.accelerators, other.accelerators),
+        )
+
 
 @frozen(kw_only=True, slots=True)
 class StepRequest:
@@ -169,6 +177,21 @@
     advice: ApprovalCost | None = None
 
 
+@frozen(kw_only=True, slots=True)
+class Account:
+    """Settings of a client account.
+
+    :param name: unique name.
+    :param weight: its share of a full cell, relative to the weights of the other accounts.
+    :param quota: the most that its tasks may use at the same time, over all hosts; a resource of 0
+        is unlimited.
+    """
+
+    name: str
+    weight: float = 1.0
+    quota: Sizes = Sizes()
+
+
 @frozen(kw_only=True, slots=True)
 class TaskId:
     """Identifies one task of one occurrence of a job."""
--- a/rhubarbferry/dispatch/placement.py
+++ b/rhubarbferry/dispatch/placement.py
@@ -60,13 +60,19 @@
 
 
 def place(
-    step: Step, hosts: Iterable[Host], now: float, held_room: Mapping[str, Sizes] | None = None
+    step: Step,
+    hosts: Iterable[Host],
+    now: float,
+    *,
+    limit: int = sys.maxsize,
+    held_room: Mapping[str, Sizes] | None = None,
 ) -> list[Placement]:
     """Choose hosts for as many waiting tasks of a step as possible.
 
     A gang gets hosts for all its tasks or for none.
 
     :param hosts: hosts that may run the step. Those that don't accept tasks now are skipped.
+    :param limit: most tasks to place.
     :param held_room: room on each host that is held for other steps.
     """
     need = step.req.room
@@ -78,9 +84,11 @@
     open_hosts = [(host, slots) for host, slots in open_hosts if slots > 0]
     waiting = step.waiting_tasks()
     if step.req.gang:
+        if limit < len(waiting):
+            return []
         return _place_gang(step, waiting, open_hosts)
     open_hosts.sort(key=lambda pair: _rank(step, pair[0]))
-    return _fill_slots(waiting, open_hosts)
+    return _fill_slots(waiting[:limit], open_hosts)
 
 
 def _usable_room(host: Host, held_room: Mapping[str, Sizes] | None) -> Sizes:
--- a/rhubarbferry/dispatch/preemption.py
+++ b/rhubarbferry/dispatch/preemption.py
@@ -113,7 +113,9 @@
             hold for step, hold in self._holds.items() if positions.get(step, position) < position
         )
 
-    def hold_room(self, step: Step, hosts: Iterable[Host], *, total: int, now: float) -> list[Run]:
+    def hold_room(
+        self, step: Step, hosts: Iterable[Host], *, limit: int, total: int, now: float
+    ) -> list[Run]:
         """Hold room for the waiting tasks of a step; return the runs to preempt for it.
 
         A gang needs room for all its tasks at once. In a cell where small tasks take all room that
@@ -122,6 +124,7 @@
         checkpoint.
 
         :param hosts: hosts that may run the step now.
+        :param limit: most tasks to hold room for.
         :param total: total number of hosts.
         """
         if step in self._holds or step in self._retry_at:
@@ -139,7 +142,7 @@
         options = sorted(
             (option for option in options if option.slots > 0), key=lambda option: option.cost
         )
-        wanted = len(step.waiting_tasks())
+        wanted = min(limit, len(step.waiting_tasks()))
         slots: dict[str, int] = {}
         selections: list[_Selection] = []
         for option in options:
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -14,8 +14,15 @@
 from attrs import frozen
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn
 
-from rhubarbferry.dispatch.job import Job, JobPhase, Step
-from rhubarbferry.dispatch.messages import ApprovalCost, JobRequest, Queue, Sizes, StepRequest
+from rhubarbferry.dispatch.job import Job, JobPhase, JobStatus, Step
+from rhubarbferry.dispatch.messages import (
+    Account,
+    ApprovalCost,
+    JobRequest,
+    Queue,
+    Sizes,
+    StepRequest,
+)
 
 
 class RecordError(Exception):
@@ -28,17 +35,26 @@
 
     :param req: the client's request.
     :param queue: settings of the queue at that time, used if the queue has been removed since.
+    :param account: settings of the client account at that time, used if the account has been
+        removed since; ``None`` for a job without an account.
     :param accepted_at_s: Unix time on the clock of the process that accepted it, which may be off
         by seconds; 0 if unknown.
     """
 
     req: JobRequest
     queue: Queue
+    account: Account | None = None
     accepted_at_s: float = 0.0
 
+    @property
+    def initial_status(self) -> JobStatus:
+        """Status of the job when it has just been accepted."""
+        account = self.account.name if self.account is not None else ""
+        return JobStatus(phase=JobPhase.QUEUED, account=account)
+
 
 _converter = cattrs.Converter(omit_if_default=True, prefer_attrib_converters=True)
-for _cls in (Sizes, StepRequest, ApprovalCost, Queue, JobRequest, JobRecord):
+for _cls in (Sizes, StepRequest, ApprovalCost, Queue, Account, JobRequest, JobRecord):
     _converter.register_unstructure_hook(
         _cls, make_dict_unstructure_fn(_cls, _converter, _cattrs_omit_if_default=True)
     )
@@ -61,21 +77,28 @@
         raise RecordError(f"the value is not a valid job request: {exc!r}") from exc
 
 
-def encode_phase(phase: JobPhase) -> bytes:
-    """Encode the state of a job that has ended or has not started: only its phase is needed."""
-    return json.dumps({"phase": phase.value}, separators=(",", ":")).encode()
+def encode_status(status: JobStatus) -> bytes:
+    """Encode the state of a job that has ended or has not started: it has no progress."""
+    return json.dumps(_status_fields(status), separators=(",", ":")).encode()
+
+
+def _status_fields(status: JobStatus) -> dict[str, Any]:
+    fields: dict[str, Any] = {"phase": status.phase.value}
+    if status.account:
+        fields["account"] = status.account
+    return fields
 
 
 def encode_state(job: Job) -> bytes:
     """Encode the state of a job: its phase and the progress of its tasks."""
     if job.phase.final:
-        return encode_phase(job.phase)
+        return encode_status(job.status)
     steps = {
         f"{step.id.occurrence}.{step.id.step}": fields
         for step in job.steps()
         if (fields := _step_fields(step))
     }
-    body: dict[str, Any] = {"phase": job.phase.value}
+    body = _status_fields(job.status)
     if steps:
         body["steps"] = steps
     return json.dumps(body, separators=(",", ":")).encode()
@@ -105,13 +128,14 @@
     return fields
 
 
-def decode_phase(value: bytes) -> JobPhase:
-    """Decode the phase from the state of a job.
+def decode_status(value: bytes) -> JobStatus:
+    """Decode the status from the state of a job.
 
     :raises RecordError: if the value is not a valid state.
     """
     try:
-        return JobPhase(json.loads(value)["phase"])
+        fields = json.loads(value)
+        return JobStatus(phase=JobPhase(fields["phase"]), account=str(fields.get("account", "")))
     except Exception as exc:
         raise RecordError(f"the value is not a valid job state: {exc!r}") from exc
 
@@ -121,7 +145,7 @@
 
     :raises RecordError: if the value is not a valid state.
     """
-    job.phase = decode_phase(value)
+    job.phase = decode_status(value).phase
     try:
         for name, fields in json.loads(value).get("steps", {}).items():
             number, index = (int(part) for part in name.split("."))
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -24,6 +24,7 @@
     TaskId,
     Unanswered,
 )
+from rhubarbferry.dispatch.quotas import Quotas
 from rhubarbferry.dispatch.retries import next_retry
 
 # A host lists at most this many ended runs in one report and the rest in later ones.
@@ -74,6 +75,7 @@
 
     :param jobs: jobs that have not ended, by id.
     :param lease_s: maximum task lease that a host grants, in seconds.
+    :param quotas: counts the runs of all hosts for the accounts of their jobs.
     :ivar orders: stop orders and repeated start orders that the caller has not taken yet.
     :ivar changed: ids of hosts whose free room or state has changed since the last
         :meth:`take_changed`.
@@ -81,6 +83,7 @@
 
     jobs: dict[str, Job]
     lease_s: float
+    quotas: Quotas = Factory(Quotas)
     hosts: dict[str, Host] = Factory(dict)
     orders: list[StartOrder | StopOrder] = Factory(list)
     changed: set[str] = Factory(set)
@@ -91,7 +94,7 @@
         """Add or update a host from its entry in the host list."""
         host = self.hosts.get(entry.id)
         if host is None:
-            host = self.hosts[entry.id] = Host(entry=entry)
+            host = self.hosts[entry.id] = Host(entry=entry, quotas=self.quotas)
             host.update_leaves_at(now)
             self.changed.add(entry.id)
             return []
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -9,11 +9,13 @@
 from attrs import define, field, frozen
 from prometheus_client import Counter, Histogram
 
+from rhubarbferry.cell.accounts import logged_digest, may_access
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Route, RouteTable
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.record import JobRecord
+from rhubarbferry.platform.accounts import API_KEY_SCHEME, parse_api_key
 from rhubarbferry.platform.job_forms import JOB_ID_PATTERN, JobFormError, parse_job
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.serving.connections import ABORT
@@ -50,17 +52,22 @@
 
 @frozen(kw_only=True, slots=True)
 class ClientResponse:
-    """The HTTP response to a client."""
+    """The HTTP response to a client.
+
+    :param challenge: whether it names the authentication scheme, as a 401 response must.
+    """
 
     status: int
     body: bytes = b"{}"
     retry_after_s: int | None = None
+    challenge: bool = False
 
 
 @frozen(kw_only=True, slots=True)
 class ClientRequest:
     """A client's HTTP request with its complete body.
 
+    :param key: API key; empty if there is none or it can't be read.
     :param deadline: monotonic time by which the client must have the response.
     """
 
@@ -68,6 +75,7 @@
     host: str
     path: str
     body: bytes
+    key: str
     deadline: float
 
 
@@ -75,13 +83,21 @@
     """The request body exceeds the size limit."""
 
 
+class _UnknownKey(Exception):
+    """The call has no valid API key, and its route needs one."""
+
+
 class _ClientGone(Exception):
     """The client closed the connection before it had sent the complete request."""
 
 
-def _error_response(status: int, text: str, *, retry_after_s: int | None = None) -> ClientResponse:
+def _error_response(
+    status: int, text: str, *, retry_after_s: int | None = None, challenge: bool = False
+) -> ClientResponse:
     body = json.dumps({"error": text}).encode()
-    return ClientResponse(status=status, body=body, retry_after_s=retry_after_s)
+    return ClientResponse(
+        status=status, body=body, retry_after_s=retry_after_s, challenge=challenge
+    )
 
 
 def _retry_after_s(record: JobRecord) -> int:
@@ -142,6 +158,7 @@
 
     async def _read_request(self, scope: Any, receive: Any, started_at: float) -> ClientRequest:
         headers = dict(scope["headers"])
+        authorization = [value for name, value in scope["headers"] if name == b"authorization"]
         try:
             timeout_s = float(headers.get(DEADLINE_HEADER, b"")) / 1000
         except ValueError:
@@ -166,6 +183,7 @@
             host=headers.get(b"host", b"").decode("latin-1"),
             path=scope["path"],
             body=b"".join(chunks),
+            key=parse_api_key(authorization),
             deadline=started_at + timeout_s,
         )
 
@@ -176,6 +194,8 @@
         ]
         if response.retry_after_s is not None:
             headers.append((b"retry-after", str(response.retry_after_s).encode()))
+        if response.challenge:
+            headers.append((b"www-authenticate", API_KEY_SCHEME.encode()))
         if self.closing:
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": response.status, "headers": headers})
@@ -192,12 +212,44 @@
         if route is None:
             RESPONSES.labels("", request.method, 404).inc()
             return _error_response(404, "no such queue")
-        response = await self._route_request(request, route)
+        try:
+            response = await self._route_request(
+                request, route, self._caller(request, route, routes)
+            )
+        except _UnknownKey:
+            response = _error_response(401, "a valid API key is needed", challenge=True)
         status = response.status if response is not None else "none"
         RESPONSES.labels(route.queue.name, request.method, status).inc()
         return response
 
-    async def _route_request(self, request: ClientRequest, route: Route) -> ClientResponse | None:
+    def _caller(self, request: ClientRequest, route: Route, routes: RouteTable) -> str | None:
+        """Return the account of a call.
+
+        :returns: its name, empty for a call without an account on a public route; ``None`` if the
+            configuration has no accounts.
+        :raises _UnknownKey: when the route needs a key and the call has no valid one.
+        """
+        if not routes.accounts.enabled:
+            return None
+        account = routes.accounts.find(request.key) if request.key else None
+        if account is not None:
+            return account
+        if route.public:
+            return ""
+        self.log.emit(
+            "call.unauthorized",
+            queue=route.queue.name,
+            call=request.method,
+            key=logged_digest(request.key) if request.key else None,
+            version=routes.version,
+            revision=routes.revision,
+            outcome="rejected",
+        )
+        raise _UnknownKey
+
+    async def _route_request(
+        self, request: ClientRequest, route: Route, account: str | None
+    ) -> ClientResponse | None:
         id = request.path[len(route.prefix) :]
         if not id and request.method == "GET":
             return await self._get_pending_count(route)
@@ -205,24 +257,33 @@
             return _error_response(404, "no job of that name")
         match request.method:
             case "POST":
-                return await self._submit(request, route, id)
+                return await self._submit(request, route, id, account)
             case "GET":
-                return await self._get_state(id)
+                return await self._get_state(id, account)
             case "DELETE":
-                return await self._cancel(request, id)
+                return await self._cancel(request, id, account)
         return _error_response(405, "POST, GET or DELETE is needed")
 
-    async def _submit(self, request: ClientRequest, route: Route, id: str) -> ClientResponse | None:
+    async def _submit(
+        self, request: ClientRequest, route: Route, id: str, account: str | None
+    ) -> ClientResponse | None:
         try:
             req = parse_job(id, route.queue.name, request.body)
         except JobFormError as exc:
             self.log.emit("job.not_accepted", job=id, reason=str(exc), outcome="malformed")
             return _error_response(400, str(exc))
-        accepted_at_s = round(self.clock.wall(), 2)
-        record = JobRecord(req=req, queue=route.queue, accepted_at_s=accepted_at_s)
+        routes = self.routes()
+        record = JobRecord(
+            req=req,
+            queue=route.queue,
+            account=routes.accounts.settings[account] if routes is not None and account else None,
+            accepted_at_s=round(self.clock.wall(), 2),
+        )
         match await self.jobs.submit(record, deadline=request.deadline):
             case Accepted.YES:
                 return ClientResponse(status=200)
+            case Accepted.ID_TAKEN:
+                return _error_response(409, "the id is in use; the job will not run")
             case Accepted.NO:
                 retry_after_s = _retry_after_s(record)
                 return _error_response(
@@ -232,20 +293,21 @@
         # instead: the client then submits the same job again and receives the outcome.
         return None
 
-    async def _get_state(self, id: str) -> ClientResponse:
+    async def _get_state(self, id: str, account: str | None) -> ClientResponse:
         try:
-            phase = await self.jobs.phase(id)
+            status = await self.jobs.status(id)
         except PhaseUnknown as exc:
             self.log.emit("job.not_read", job=id, reason=str(exc)[:200])
             return _error_response(
                 503, "the state can't be read now", retry_after_s=MIN_RETRY_AFTER_S
             )
-        if phase is None:
+        if status is None or not may_access(account, status):
             return _error_response(410, "no such job")
-        return ClientResponse(status=200, body=json.dumps({"state": CLIENT_STATES[phase]}).encode())
+        body = json.dumps({"state": CLIENT_STATES[status.phase]}).encode()
+        return ClientResponse(status=200, body=body)
 
-    async def _cancel(self, request: ClientRequest, id: str) -> ClientResponse:
-        match await self.jobs.cancel(id, deadline=request.deadline):
+    async def _cancel(self, request: ClientRequest, id: str, account: str | None) -> ClientResponse:
+        match await self.jobs.cancel(id, account=account, deadline=request.deadline):
             case Cancelled.YES:
                 return ClientResponse(status=200)
             case Cancelled.UNKNOWN_JOB:
--- a/rhubarbferry/platform/configuration.py
+++ b/rhubarbferry/platform/configuration.py
@@ -9,6 +9,7 @@
 
 from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Limits, Route, RouteTable
 from rhubarbferry.dispatch.messages import ApprovalCost, Queue
+from rhubarbferry.platform.accounts import decode_accounts
 
 CONFIGURATION_KEY = "op/config"
 
@@ -36,6 +37,7 @@
         revision=revision,
         routes=routes,
         limits=Limits(body_bytes=body_bytes),
+        accounts=decode_accounts(body.get("tenants")),
     )
 
 
@@ -67,4 +69,9 @@
         objective_s=float(entry.get("sloMs", 0)) / 1000,
         advice=advice,
     )
-    return Route(host=str(entry["host"]).lower(), prefix=str(entry["prefix"]), queue=queue)
+    return Route(
+        host=str(entry["host"]).lower(),
+        prefix=str(entry["prefix"]),
+        queue=queue,
+        public=entry.get("public") is True,
+    )
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -136,6 +136,7 @@
     ACCEPTED = 0
     NOT_ACCEPTED = 1
     UNCLEAR = 2
+    ID_TAKEN = 3
 
 
 
@@ -2086,18 +2087,21 @@
     Attributes:
      - read
      - phase
+     - account
 
     """
 
     __slots__ = (
         'read',
         'phase',
+        'account',
     )
 
 
-    def __init__(self, read=None, phase=None,):
+    def __init__(self, read=None, phase=None, account=None,):
         self.read = read
         self.phase = phase
+        self.account = account
 
 
 class RelayedCancel(TBase):
@@ -2105,18 +2109,21 @@
     Attributes:
      - job
      - timeout_ms
+     - account
 
     """
 
     __slots__ = (
         'job',
         'timeout_ms',
+        'account',
     )
 
 
-    def __init__(self, job=None, timeout_ms=None,):
+    def __init__(self, job=None, timeout_ms=None, account=None,):
         self.job = job
         self.timeout_ms = timeout_ms
+        self.account = account
 
 
 class RelayedCancelReply(TBase):
@@ -2199,16 +2206,19 @@
     """
     Attributes:
      - phase
+     - account
 
     """
 
     __slots__ = (
         'phase',
+        'account',
     )
 
 
-    def __init__(self, phase=None,):
+    def __init__(self, phase=None, account=None,):
         self.phase = phase
+        self.account = account
 
 
 class StoreReachRequest(TBase):
@@ -3147,12 +3157,14 @@
     None,  # 0
     (1, TType.BOOL, 'read', None, None, ),  # 1
     (2, TType.STRING, 'phase', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'account', 'UTF8', None, ),  # 3
 )
 all_structs.append(RelayedCancel)
 RelayedCancel.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
     (2, TType.I32, 'timeout_ms', None, None, ),  # 2
+    (3, TType.STRING, 'account', 'UTF8', None, ),  # 3
 )
 all_structs.append(RelayedCancelReply)
 RelayedCancelReply.thrift_spec = (
@@ -3182,6 +3194,7 @@
 OwnedPhaseReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'phase', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'account', 'UTF8', None, ),  # 2
 )
 all_structs.append(StoreReachRequest)
 StoreReachRequest.thrift_spec = (
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -546,15 +546,20 @@
   4: optional string detail,
 }
 /* Job calls of clients, relayed by a process to which the store does not respond. */
-enum Acceptance { ACCEPTED = 0, NOT_ACCEPTED = 1, UNCLEAR = 2 }
+enum Acceptance { ACCEPTED = 0, NOT_ACCEPTED = 1, UNCLEAR = 2, ID_TAKEN = 3 }
 struct RelayedSubmit { 1: required binary record, 2: required i32 timeout_ms }
 struct RelayedSubmitReply { 1: required Acceptance accepted }
 struct RelayedPhase { 1: required string job }
 struct RelayedPhaseReply {
   1: required bool read, /* whether the store could be read */
   2: optional string phase, /* absent when the job does not exist */
+  3: optional string account, /* account that submitted it, empty for none */
+}
+struct RelayedCancel {
+  1: required string job,
+  2: required i32 timeout_ms,
+  3: optional string account, /* account of the caller; absent: jobs of any account */
 }
-struct RelayedCancel { 1: required string job, 2: required i32 timeout_ms }
 struct RelayedCancelReply { 1: required bool recorded, 2: required bool known }
 /* Notifies the owner of the work of a job that has just been stored. */
 struct JobNotice {
@@ -565,7 +570,10 @@
 }
 struct JobNoticeReply { 1: required bool taken }
 struct OwnedPhaseRequest { 1: required string job }
-struct OwnedPhaseReply { 1: optional string phase /* absent when the process does not know it */ }
+struct OwnedPhaseReply {
+  1: optional string phase, /* absent when the process does not know it */
+  2: optional string account, /* account that submitted it, empty for none */
+}
 /* Sent by an owner to which the store no longer responds, to find a process that can reach it. */
 struct StoreReachRequest { 1: optional string sender }
 struct StoreReachReply { 1: required bool reached }
--- a/tests/cell/test_direct_calls.py
+++ b/tests/cell/test_direct_calls.py
@@ -12,8 +12,8 @@
 from rhubarbferry.cell.direct_calls import DirectJobCalls
 from rhubarbferry.cell.job_calls import Accepted
 from rhubarbferry.cell.owner_calls import AcceptedJob
-from rhubarbferry.dispatch.job import JobPhase
-from rhubarbferry.dispatch.record import encode_phase
+from rhubarbferry.dispatch.job import JobPhase, JobStatus
+from rhubarbferry.dispatch.record import encode_status
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Committed, Put, Txn
 
@@ -73,7 +73,7 @@
     job_calls = direct_job_calls(store, owner)
     assert await job_calls.submit(record(ID), deadline=deadline()) is Accepted.YES
     assert owner.notices == []
-    assert await job_calls.phase(ID) is JobPhase.QUEUED
+    assert await job_calls.status(ID) == JobStatus(phase=JobPhase.QUEUED)
 
 
 @pytest.mark.parametrize("owned", [True, False])
@@ -88,12 +88,12 @@
 
 async def test_ended_job_is_not_accepted_again(store):
     """Guards against a job that runs again when a duplicate of its submission arrives late."""
-    value = encode_phase(JobPhase.COMPLETE)
+    value = encode_status(JobStatus(phase=JobPhase.COMPLETE))
     await store.commit(Txn(put=(Put(key=keys.ENDED + ID, value=value),)))
     job_calls = direct_job_calls(store, OwnerStub(current_fence=await take_ownership(store)))
     assert await job_calls.submit(record(ID), deadline=deadline()) is Accepted.YES
     assert await store.get(keys.JOBS + ID) is None
-    assert await job_calls.phase(ID) is JobPhase.COMPLETE
+    assert await job_calls.status(ID) == JobStatus(phase=JobPhase.COMPLETE)
 
 
 async def test_write_with_a_lost_answer_is_reported_as_accepted(store, stand_in):
@@ -120,4 +120,4 @@
     job_calls = direct_job_calls(store, OwnerStub())
     assert await job_calls.submit(record(ID), deadline=deadline()) is Accepted.NO
     stand_in.faults.down = False
-    assert await job_calls.phase(ID) is None
+    assert await job_calls.status(ID) is None
--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -17,8 +17,8 @@
 from rhubarbferry.cell.term_context import OwnershipLost, Tenure, TermContext
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.dispatch.dispatcher import Dispatcher
-from rhubarbferry.dispatch.job import JobPhase
-from rhubarbferry.dispatch.record import decode_phase, encode_phase, encode_request
+from rhubarbferry.dispatch.job import JobPhase, JobStatus
+from rhubarbferry.dispatch.record import decode_status, encode_request, encode_status
 from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Put, Txn
@@ -33,7 +33,7 @@
     result = await store.commit(
         Txn(
             put=(
-                Put(key=state, value=encode_phase(phase)),
+                Put(key=state, value=encode_status(JobStatus(phase=phase))),
                 Put(key=keys.JOBS + id, value=encode_request(record(id, **fields))),
             )
         )
@@ -110,7 +110,9 @@
     cleaner = Cleaner(ctx=watcher.ctx, without_state=watcher.without_state)
     await cleaner._load()
     assert watcher.ctx.removable == (["a"] if ended else [])
-    assert watcher.ctx.dispatcher.ended == ({"a": JobPhase.COMPLETE} if ended else {})
+    assert watcher.ctx.dispatcher.ended == (
+        {"a": JobStatus(phase=JobPhase.COMPLETE)} if ended else {}
+    )
 
 
 async def test_state_moves_to_its_own_prefix_when_the_job_ends(store):
@@ -121,7 +123,7 @@
     watcher.ctx.dispatcher.cancel_job("a")
     assert await Recorder(ctx=watcher.ctx).flush()
     assert await store.get(keys.STATES + "a") is None
-    assert decode_phase((await store.get(keys.ENDED + "a")).value) is JobPhase.CANCELLED
+    assert decode_status((await store.get(keys.ENDED + "a")).value).phase is JobPhase.CANCELLED
 
 
 @pytest.mark.parametrize(("ago_s", "age_s"), [(5.0, 5.0), (-5.0, 0.0), (4000.0, 0.0)])
--- a/tests/cell/test_owner_client.py
+++ b/tests/cell/test_owner_client.py
@@ -9,11 +9,12 @@
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.owner_client import OWNER_BACKOFF_S, PENDING_COUNT_TTL_S, OwnerClient
 from rhubarbferry.cell.peers import NoReply
-from rhubarbferry.dispatch.job import JobPhase
+from rhubarbferry.dispatch.job import JobPhase, JobStatus
 from rhubarbferry.test.fake_clock import FakeClock
 
 from .fakes import member
 
+RUNNING = JobStatus(phase=JobPhase.RUNNING, account="lanna")
 JOB = AcceptedJob(id="j", record=b"{}", revision=9, fence=5)
 
 
@@ -21,11 +22,11 @@
 class Peers:
     """Fake of the calls to other processes."""
 
-    answer: JobPhase | NoReply | None = None
+    answer: JobStatus | NoReply | None = None
     asked: list[str] = Factory(list)
     notified: list[AcceptedJob] = Factory(list)
 
-    async def owned_phase(self, member, id, *, timeout_s):
+    async def owned_status(self, member, id, *, timeout_s):
         self.asked.append(id)
         return self.answer
 
@@ -47,8 +48,8 @@
     def pending(self, queue):
         return 7
 
-    def phase(self, id):
-        return JobPhase.RUNNING
+    def status(self, id):
+        return RUNNING
 
     def add_accepted(self, job):
         self.notified.append(job)
@@ -64,28 +65,28 @@
     )
 
 
-@pytest.mark.parametrize("phase", [JobPhase.QUEUED, JobPhase.COMPLETE, None])
-async def test_the_phase_of_a_job_comes_from_the_owner(phase):
-    assert await make_client(Peers(answer=phase)).phase("j") is phase
+@pytest.mark.parametrize("status", [RUNNING, JobStatus(phase=JobPhase.COMPLETE), None])
+async def test_the_status_of_a_job_comes_from_the_owner(status):
+    assert await make_client(Peers(answer=status)).status("j") is status
 
 
 async def test_an_unresponsive_owner_is_not_queried_again_at_once():
     """Guard against hundreds of clients that each wait for a frozen owner."""
     peers = Peers(answer=NoReply(reason="no answer"))
     client = make_client(peers)
-    assert [await client.phase("j") for _ in range(3)] == [None] * 3
+    assert [await client.status("j") for _ in range(3)] == [None] * 3
     assert peers.asked == ["j"]
     client.view.ownership = Ownership(owner=member("next"), fence=6, lease_id=2)
-    await client.phase("j")
+    await client.status("j")
     assert peers.asked == ["j"] * 2
     await client.clock.advance(OWNER_BACKOFF_S)
-    await client.phase("j")
+    await client.status("j")
     assert peers.asked == ["j"] * 3
 
 
 async def test_without_an_owner_no_query_is_sent():
-    peers = Peers(answer=JobPhase.RUNNING)
-    assert await make_client(peers, owner="").phase("j") is None
+    peers = Peers(answer=RUNNING)
+    assert await make_client(peers, owner="").status("j") is None
     assert peers.asked == []
 
 
@@ -93,7 +94,7 @@
     peers = Peers()
     term = OwnTerm()
     client = make_client(peers, owner="own", term=term)
-    assert await client.phase("j") is JobPhase.RUNNING
+    assert await client.status("j") is RUNNING
     assert await client.pending("queue") == 7
     client.notify_accepted(JOB)
     assert (term.notified, peers.asked, peers.notified) == ([JOB], [], [])
