Unblock the steps behind one that its quota rules out or that is found done

Cause: of an account's blocked steps the first one holds up the others. It stayed first when a lower quota ruled it out for good, and nothing woke the others when it was found done by a late report. The first was found by reading after a run of the new state machine of quotas in the fuzz profile failed (jobs had not ended after all faults were removed); that this was its cause is suspected and not shown. In production the recheck each second hides the second case.

Change: a changed quota sorts the blocked steps of its account again, and a blocked step that no longer waits wakes those behind it.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -402,10 +402,13 @@
 
     def _unblock_steps(self) -> None:
         """Reconsider the blocked steps of the accounts whose free quota has grown."""
+        for account in self.quotas.take_changed_quotas():
+            for oversized in (True, False):
+                key = BlockKey(account=account, oversized=oversized)
+                for step in list(self.waiting.blocked(key)):
+                    if self.quotas.exceeds_quota(step) is not oversized:
+                        self._unblock(step)
         for account in self.quotas.take_changed():
-            for step in list(self.waiting.blocked(BlockKey(account=account, oversized=True))):
-                if not self.quotas.exceeds_quota(step):
-                    self._unblock(step)
             blocked = self.waiting.blocked(BlockKey(account=account))
             for step in self.quotas.startable_steps(account, blocked):
                 self._unblock(step)
@@ -549,7 +552,7 @@
             self._mark_done(member)
         self._mark_dirty(job)
         if step.done:
-            self.waiting.discard(step)
+            self._remove_waiting(step)
             self._queue_ready_steps(job, now)
             self._finish_if_done(job)
 
@@ -613,6 +616,12 @@
         self.waiting.add(step, now)
         self._candidates.include(step)
 
+    def _remove_waiting(self, step: Step) -> None:
+        if self.waiting.is_blocked(step):
+            # Steps of its account that wait behind it may start now.
+            self.quotas.mark_changed(step.job.account_name)
+        self.waiting.discard(step)
+
     def _mark_started(self, job: Job) -> None:
         if not job.started:
             job.started = True
@@ -626,10 +635,7 @@
     def _finish(self, job: Job, phase: JobPhase, reason: str) -> None:
         job.phase = phase
         for step in job.steps():
-            if self.waiting.is_blocked(step):
-                # Steps behind this one may start now.
-                self.quotas.mark_changed(job.account_name)
-            self.waiting.discard(step)
+            self._remove_waiting(step)
             self.holds.drop(step)
         for run in job.runs():
             if run.phase is RunPhase.RESERVED:
--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -54,6 +54,7 @@
     _assumed: dict[str, _AssumedRuns] = Factory(dict)
     _assumed_totals: dict[str, Sizes] = Factory(dict)
     _changed: set[str] = Factory(set)
+    _changed_quotas: set[str] = Factory(set)
 
     # ------------------------------------------------------------ settings
 
@@ -63,6 +64,7 @@
             if self._accounts.get(name) != account:
                 self._accounts[name] = account
                 self._changed.add(name)
+                self._changed_quotas.add(name)
 
     def add_account(self, account: Account) -> None:
         """Add an account from the record of a job, unless a configuration has set it."""
@@ -188,3 +190,8 @@
         """Return the accounts whose usage has fallen or whose quota has changed since last time."""
         changed, self._changed = self._changed, set()
         return changed
+
+    def take_changed_quotas(self) -> set[str]:
+        """Return the accounts whose quota has changed since last time."""
+        changed, self._changed_quotas = self._changed_quotas, set()
+        return changed
--- a/tests/dispatch/host_model.py
+++ b/tests/dispatch/host_model.py
@@ -9,6 +9,7 @@
 from attrs import Factory, define
 
 from rhubarbferry.dispatch.messages import (
+    Account,
     EndedTask,
     EndKind,
     HostEntry,
@@ -47,6 +48,8 @@
     :ivar restarted_after: those of them after which their task was started again, before the lease
         of their host had lapsed. Unless their host has crashed and forgotten them, no end of the
         task may be acknowledged any more.
+    :ivar accounts: settings of the client accounts by name.
+    :ivar account_of: name of the account of each job that has one.
     """
 
     steps: dict[str, tuple[StepRequest, ...]] = Factory(dict)
@@ -57,6 +60,8 @@
     done_ends: dict[TaskId, set[EndKey]] = Factory(dict)
     restarted_after: dict[TaskId, set[EndKey]] = Factory(dict)
     acknowledged_failed: dict[TaskId, set[int]] = Factory(dict)
+    accounts: dict[str, Account] = Factory(dict)
+    account_of: dict[str, str] = Factory(dict)
 
     def request(self, task: TaskId) -> StepRequest:
         if task.job not in self.steps:
@@ -70,6 +75,7 @@
             raise InvariantViolated(
                 f"host {host.id} runs {used} of {CAPACITY.millicores} millicores"
             )
+        self.check_quota(self.account_of.get(task.job, ""))
         runs = [run for each in self.hosts.values() for run, _ in each.running if run == task]
         if len(runs) > 1:
             raise InvariantViolated(f"{task} runs twice")
@@ -87,6 +93,20 @@
             if not (members & self.done if gang else members <= self.done):
                 raise InvariantViolated(f"{task} starts before step {before} is done")
 
+    def check_quota(self, name: str) -> None:
+        """Check that an account whose task has just started runs at most its quota."""
+        if name not in self.accounts:
+            return
+        quota = self.accounts[name].quota.millicores
+        used = sum(
+            self.request(run).sizes.millicores
+            for host in self.hosts.values()
+            for run, _ in host.running
+            if self.account_of.get(run.job) == name
+        )
+        if used > quota:
+            raise InvariantViolated(f"account {name} runs {used} of {quota} millicores")
+
     def ended_done(self, host: HostModel, ended: EndedTask) -> None:
         self.done.add(ended.task)
         key = (host.id, host.incarnation, ended.number)
