--- /dev/null
+++ b/rhubarbferry/cell/account_usage.py
@@ -0,0 +1,92 @@
+"""Metrics and log lines about the quotas of client accounts, as the owner keeps them."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from prometheus_client import Counter, Gauge
+
+from rhubarbferry.cell.logs import EventLog
+from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.messages import Account, Sizes
+
+ACCOUNT_USED = Gauge(
+    "rhubarbferry_account_used", "What the tasks of an account use", ["account", "resource"]
+)
+ACCOUNT_QUOTA = Gauge(
+    "rhubarbferry_account_quota",
+    "The most that the tasks of an account may use; 0 is unlimited",
+    ["account", "resource"],
+)
+ACCOUNT_BLOCKED_STEPS = Gauge(
+    "rhubarbferry_account_blocked_steps", "Steps that wait for the quota of an account", ["account"]
+)
+USAGE_MISMATCHES = Counter(
+    "rhubarbferry_account_usage_mismatches_total",
+    "Checks in which the counted usage of an account differed from its runs",
+)
+METRICS = (ACCOUNT_USED, ACCOUNT_QUOTA, ACCOUNT_BLOCKED_STEPS)
+
+
+@define(kw_only=True, eq=False)
+class AccountUsageReport:
+    """Reports the usage of all accounts during one term of ownership."""
+
+    log: EventLog
+    dispatcher: Dispatcher
+    _reported: set[str] = field(factory=set)
+
+    def log_blocked_steps(self) -> None:
+        """Log the steps that have been blocked for the first time since the last call."""
+        quotas = self.dispatcher.quotas
+        steps, self.dispatcher.newly_blocked = self.dispatcher.newly_blocked, []
+        for step in steps:
+            account = quotas.accounts[step.job.account_name]
+            used = quotas.used(account.name)
+            oversized = quotas.exceeds_quota(step)
+            self.log.emit(
+                "job.blocked",
+                job=step.job.id,
+                step=f"{step.id.occurrence}.{step.id.step}",
+                account=account.name,
+                tasks=len(step.waiting_tasks()),
+                task_millicores=step.req.sizes.millicores,
+                task_memory_mb=step.req.sizes.memory_mb,
+                used_millicores=used.millicores,
+                used_memory_mb=used.memory_mb,
+                quota_millicores=account.quota.millicores,
+                quota_memory_mb=account.quota.memory_mb,
+                outcome="larger than the quota" if oversized else "its account is at its quota",
+            )
+
+    def update(self) -> None:
+        """Update the metrics, and check the counted usage against the runs of all hosts."""
+        quotas = self.dispatcher.quotas
+        blocked = self.dispatcher.waiting.blocked_counts()
+        for name, account in quotas.accounts.items():
+            self._set_gauges(account, quotas.used(name), blocked.get(name, 0))
+        hosts = self.dispatcher.tracker.hosts.values()
+        differing = quotas.check_usage(run for host in hosts for run in host.runs.values())
+        for name, used in differing.items():
+            USAGE_MISMATCHES.inc()
+            self.log.emit(
+                "account.usage_mismatch",
+                account=name,
+                used_millicores=used.millicores,
+                used_memory_mb=used.memory_mb,
+                outcome="kept",
+            )
+
+    def _set_gauges(self, account: Account, used: Sizes, blocked: int) -> None:
+        self._reported.add(account.name)
+        for gauge, sizes in ((ACCOUNT_USED, used), (ACCOUNT_QUOTA, account.quota)):
+            gauge.labels(account.name, "millicores").set(sizes.millicores)
+            gauge.labels(account.name, "memory_mb").set(sizes.memory_mb)
+            gauge.labels(account.name, "accelerators").set(sizes.accelerators)
+        ACCOUNT_BLOCKED_STEPS.labels(account.name).set(blocked)
+
+    def clear(self) -> None:
+        """Remove the metrics; another process is the owner."""
+        if self._reported:
+            for metric in METRICS:
+                metric.clear()
+            self._reported.clear()
--- a/rhubarbferry/cell/configuration_watch.py
+++ b/rhubarbferry/cell/configuration_watch.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from prometheus_client import Gauge
 
+from rhubarbferry.cell.accounts import log_account_changes
 from rhubarbferry.cell.key_watch import KeyWatcher, Version
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import RouteTable
@@ -83,6 +84,14 @@
         if routes is None:
             self.log.emit("configuration.refused", revision=item.mod_revision)
             return
+        if self.routes is not None:
+            log_account_changes(
+                self.log,
+                self.routes.accounts,
+                routes.accounts,
+                version=routes.version,
+                revision=routes.revision,
+            )
         self.routes = routes
         VERSION.set(routes.version)
         self.log.emit(
@@ -90,6 +99,7 @@
             version=routes.version,
             revision=routes.revision,
             queues=len(routes.queues),
+            accounts=len(routes.accounts.settings),
             value_bytes=len(item.value),
             source=version.source,
             transfer_s=round(version.transfer_s, 3),
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from rhubarbferry.cell import keys
+from rhubarbferry.cell.account_usage import AccountUsageReport
 from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.hand_over import hand_over
@@ -73,6 +74,7 @@
     _job_watcher: JobWatcher = field(init=False)
     _recorder: Recorder = field(init=False)
     _log: DecisionLog = field(init=False)
+    _account_usage: AccountUsageReport = field(init=False)
     _executor: OrderExecutor = field(init=False)
     _tasks: asyncio.TaskGroup = field(init=False)
     _polled_hosts: set[str] = field(factory=set)
@@ -99,6 +101,9 @@
         self._job_watcher = JobWatcher(ctx=self.ctx)
         self._recorder = Recorder(ctx=self.ctx)
         self._log = DecisionLog(log=self.process.log)
+        self._account_usage = AccountUsageReport(
+            log=self.process.log, dispatcher=self.ctx.dispatcher
+        )
         self._executor = OrderExecutor(ctx=self.ctx, log=self._log, spawn=self._spawn)
 
     @property
@@ -147,6 +152,8 @@
                 await self._run_decisions()
         except* OwnershipLost as lost:
             self.tenure.end(str(lost.exceptions[0]))
+        finally:
+            self._account_usage.clear()
 
     async def flush(self) -> None:
         """Write all changed job states to the store before the ownership is released."""
@@ -362,12 +369,14 @@
         if now - self._rechecked_at >= STEP_RECHECK_INTERVAL_S:
             self._rechecked_at = now
             dispatcher.reconsider_all()
+            self._account_usage.update()
         unconfirmed = list(dispatcher.takeover.unconfirmed)
         orders = dispatcher.decide(
             now=now, wall_s=self.process.clock.wall(), starts=self._executor.start_capacity()
         )
         self._log_settled(unconfirmed, now)
         self._log.outcomes(dispatcher)
+        self._account_usage.log_blocked_steps()
         for order in orders:
             self._executor.execute(order)
         self._executor.request_approvals(self._members())
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -85,6 +85,8 @@
     :param lease_s: maximum task lease that a host grants, in seconds.
     :ivar dirty: jobs whose state in the store is out of date, in the order of their first change.
     :ivar ended: final status of each job whose end has been written to the store.
+    :ivar newly_blocked: steps that their account's quota has blocked for the first time, and that
+        the caller has not logged yet.
     :ivar run_events: ended and refused runs that the caller has not logged yet.
     """
 
@@ -93,6 +95,7 @@
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
     ended: dict[str, JobStatus] = Factory(dict)
+    newly_blocked: list[Step] = Factory(list)
     run_events: list[RunEvent] = Factory(list)
     quotas: Quotas = Factory(Quotas)
     tracker: Tracker = field(init=False)
@@ -399,6 +402,9 @@
         oversized = self.quotas.exceeds_quota(step)
         self.waiting.block(step, BlockKey(account=step.job.account_name, oversized=oversized))
         self.holds.drop(step)
+        if not step.ever_blocked:
+            step.ever_blocked = True
+            self.newly_blocked.append(step)
 
     def _unblock_steps(self) -> None:
         """Reconsider the blocked steps of the accounts whose free quota has grown."""
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -159,6 +159,7 @@
 
     :param failed_attempts: failed attempts of the gang as a whole; unused for other steps.
     :param ready_at: when all preceding steps were done; ``None`` until then.
+    :param ever_blocked: whether the quota of its account has blocked it.
     """
 
     job: Job = field(repr=False)
@@ -169,6 +170,7 @@
     ready_at: float | None = None
     done_count: int = 0
     ever_started: bool = False
+    ever_blocked: bool = False
     approvals: StepApprovals = Factory(StepApprovals)
 
     @property
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -23,6 +23,11 @@
 RESPONSES = Counter(
     "rhubarbferry_client_answers_total", "Responses to clients", ["queue", "call", "status"]
 )
+ACCOUNT_RESPONSES = Counter(
+    "rhubarbferry_account_answers_total",
+    "Responses to the clients of an account",
+    ["account", "status"],
+)
 RESPONSE_SECONDS = Histogram(
     "rhubarbferry_client_answer_seconds",
     "Time from a client's complete request to its response",
@@ -212,13 +217,16 @@
         if route is None:
             RESPONSES.labels("", request.method, 404).inc()
             return _error_response(404, "no such queue")
+        account: str | None = None
+        response: ClientResponse | None
         try:
-            response = await self._route_request(
-                request, route, self._caller(request, route, routes)
-            )
+            account = self._caller(request, route, routes)
+            response = await self._route_request(request, route, account)
         except _UnknownKey:
             response = _error_response(401, "a valid API key is needed", challenge=True)
         status = response.status if response is not None else "none"
+        if account:
+            ACCOUNT_RESPONSES.labels(account, status).inc()
         RESPONSES.labels(route.queue.name, request.method, status).inc()
         return response
 
--- a/rhubarbferry/reports/losses.py
+++ b/rhubarbferry/reports/losses.py
@@ -27,13 +27,15 @@
     """Reasons for which a job waits.
 
     ``ACCEPTANCE``: no process has accepted it. ``OWNER``: no process owns the work.
-    ``APPROVAL``: the policy service has not approved a step. ``ROOM``: no host has free capacity.
-    ``START``: a host has not answered a start order. ``RESTART``: a run that ended without success
-    is repeated. ``RECORD``: its end has not been recorded. ``WORK``: its tasks are running.
+    ``QUOTA``: its account is at its quota. ``APPROVAL``: the policy service has not approved a
+    step. ``ROOM``: no host has free capacity. ``START``: a host has not answered a start order.
+    ``RESTART``: a run that ended without success is repeated. ``RECORD``: its end has not been
+    recorded. ``WORK``: its tasks are running.
     """
 
     ACCEPTANCE = "not accepted"
     OWNER = "no owner"
+    QUOTA = "account at its quota"
     APPROVAL = "approval"
     ROOM = "room"
     START = "start without an answer"
@@ -165,6 +167,7 @@
     _taken: bool = False
     _task_counts: list[int] = Factory(list)
     _approved_steps: set[str] = Factory(set)
+    _blocked_steps: set[str] = Factory(set)
     _done: set[str] = Factory(set)
     _restarted: set[str] = Factory(set)
     _running: dict[str, float] = Factory(dict)
@@ -189,7 +192,10 @@
                 self._task_counts = [int(count) for count in line.fields.get("tasks") or ()]
             case "approval" if line.fields.get("approved"):
                 self._approved_steps.add(line.text("step"))
+            case "job.blocked":
+                self._blocked_steps.add(line.text("step"))
             case "task.start":
+                self._blocked_steps.discard(_step_label(task))
                 self._approved_steps.add(_step_label(task))
                 self._add_start(task, line)
             case "task.end":
@@ -238,6 +244,8 @@
             return Cause.OWNER
         if self._unanswered:
             return Cause.START
+        if self._blocked_steps:
+            return Cause.QUOTA
         if self._restarted - self._running.keys() - self._done:
             return Cause.RESTART
         if self._waits_for_capacity():
--- a/tests/reports/test_losses.py
+++ b/tests/reports/test_losses.py
@@ -36,6 +36,19 @@
         Verdict.LATE,
         Cause.ROOM,
     ),
+    "an account at its quota": (
+        [
+            (0, ACCEPTED),
+            (0.1, TAKEN),
+            (0.1, {"event": "job.blocked", "job": "j", "step": "0.0"}),
+            (3, APPROVED),
+            (3.1, STARTED),
+            (4, DONE),
+            (4, COMPLETE),
+        ],
+        Verdict.LATE,
+        Cause.QUOTA,
+    ),
     "a slow policy": (
         [(0, ACCEPTED), (0.1, TAKEN), (3, APPROVED), (3, STARTED), (4, DONE), (4, COMPLETE)],
         Verdict.LATE,
