Record a cancelled job as ended when its runs have ended; wake an account's steps

Two faults that the state machine of quotas found in the fuzz profile, each with its step list as a test that failed before:

An account ran 7 cores of 4. A job was cancelled and recorded as ended while its tasks were being stopped; a new owner did not know the runs of ended jobs and started others beside them. Now the end of a cancelled job is recorded once its runs have ended, and a new owner adopts and stops runs of a cancelled job that it finds. The same holds for a job that has failed, for at most the time of a stop; that is not mended, since its client would learn of it later.

An account's steps waited for good, with nothing running (with the recheck in production for up to 1 s). A step that fitted the quota waited for hosts, turned late, and was blocked behind another one that fitted by then as well, with nothing to wake them. Now a step that is blocked behind another has its account's steps looked at again.

--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -160,7 +160,8 @@
 
     def _retry_later(self, group: list[_Snapshot], reason: str) -> None:
         for snapshot in group:
-            self.ctx.dispatcher.dirty.setdefault(snapshot.job.id, snapshot.job)
+            if not self.ctx.dispatcher.is_stopping(snapshot.job.id):
+                self.ctx.dispatcher.dirty.setdefault(snapshot.job.id, snapshot.job)
         self.ctx.process.log.emit(
             "job.not_recorded", jobs=[snapshot.job.id for snapshot in group], reason=reason
         )
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -108,6 +108,7 @@
     _ejector: Ejector = Factory(lambda: Ejector(rules=HOST_EJECTION_RULES))
     _repeated_jobs: dict[str, Job] = Factory(dict)
     _unresolved_jobs: dict[str, Job] = Factory(dict)
+    _stopping_jobs: dict[str, Job] = Factory(dict)
     _hosts_reviewed_at: float = float("-inf")
     _queues: Mapping[str, Queue] | None = None
     _approved_shares: dict[str, ApprovedShare] = Factory(dict)
@@ -287,6 +288,7 @@
             if not step.job.phase.final and not step.done:
                 self._reconsider(step, now)
         self._resume_inherited_jobs(now)
+        self._end_stopped_jobs()
         self._unblock_steps()
         orders += self._place_candidates(now, starts)
         orders += self.tracker.take_orders()
@@ -393,6 +395,8 @@
         if blocked and step in self.waiting:
             first = self.waiting.position(blocked[0])
             if first < self.waiting.position(step):
+                # The step may have become less urgent than one that fits by now.
+                self.quotas.mark_changed(step.job.account_name)
                 return 0
         return free
 
@@ -648,7 +652,24 @@
                 self.tracker.release(run)
             elif not run.task.done:
                 self.tracker.stop(run, reason)
-        self._mark_dirty(job)
+        if phase is JobPhase.CANCELLED and self.quotas.may_have_runs(job.id):
+            # A new owner would not know the runs of a job that is recorded as ended, and could
+            # start others of the account beside them.
+            self._stopping_jobs[job.id] = job
+            self.dirty.pop(job.id, None)
+        else:
+            self._mark_dirty(job)
+
+    def is_stopping(self, id: str) -> bool:
+        """Return whether a job is cancelled and must not be recorded yet, since it has runs."""
+        return id in self._stopping_jobs
+
+    def _end_stopped_jobs(self) -> None:
+        """Request that the cancelled jobs whose runs have all ended are recorded."""
+        for job in list(self._stopping_jobs.values()):
+            if not self.quotas.may_have_runs(job.id):
+                del self._stopping_jobs[job.id]
+                self._mark_dirty(job)
 
     def _mark_dirty(self, job: Job) -> None:
         self.dirty[job.id] = job
--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define
@@ -51,6 +52,7 @@
 
     _accounts: dict[str, Account] = Factory(dict)
     _used: dict[str, Sizes] = Factory(dict)
+    _runs_of_jobs: Counter[str] = Factory(Counter)
     _assumed: dict[str, _AssumedRuns] = Factory(dict)
     _assumed_totals: dict[str, Sizes] = Factory(dict)
     _changed: set[str] = Factory(set)
@@ -79,6 +81,7 @@
 
     def add(self, run: Run) -> None:
         """Count a run."""
+        self._runs_of_jobs[run.task.id.job] += 1
         name = run.task.step.job.account_name
         if not name:
             return
@@ -91,11 +94,19 @@
 
     def remove(self, run: Run) -> None:
         """Stop counting a run that has ended."""
+        id = run.task.id.job
+        self._runs_of_jobs[id] -= 1
+        if not self._runs_of_jobs[id]:
+            del self._runs_of_jobs[id]
         name = run.task.step.job.account_name
         if name:
             self._used[name] = self._used[name].minus(run.task.step.req.sizes)
             self._changed.add(name)
 
+    def may_have_runs(self, job: str) -> bool:
+        """Return whether a job has a run on any host, or is assumed to have one."""
+        return job in self._runs_of_jobs or job in self._assumed
+
     def assume_running(self, job: Job) -> None:
         """Count all unfinished tasks of an inherited job as running."""
         if not job.account_name:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -243,7 +243,9 @@
         if other is not None and other.phase is RunPhase.RESERVED:
             events.append(self._release_reservation(other, "a run of the task was found"))
             other = None
-        if task.done or (other is not None and other.attempt >= run.attempt):
+        if task.step.job.phase.final:
+            self.stop(run, "its job has ended")
+        elif task.done or (other is not None and other.attempt >= run.attempt):
             self.stop(run, "another run of the task counts")
         else:
             if other is not None:
@@ -410,11 +412,9 @@
         return found.runs.get((task, attempt)) if found is not None else None
 
     def task(self, id: TaskId) -> Task | None:
-        """Return a task, or ``None`` if its job has ended or is unknown."""
+        """Return a task, or ``None`` if its job is unknown or has been recorded as ended."""
         job = self.jobs.get(id.job)
-        if job is None or job.phase.final:
-            return None
-        return job.task(id)
+        return job.task(id) if job is not None else None
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a run to stop. It keeps its room until the host reports its end."""
--- a/tests/dispatch/test_quota_machine.py
+++ b/tests/dispatch/test_quota_machine.py
@@ -75,3 +75,33 @@
     derandomize=not FUZZING,
     deadline=None,
 )
+
+
+def new_machine() -> QuotaMachine:
+    machine = QuotaMachine()
+    machine.begin(rates=[1.0] * HOSTS)
+    return machine
+
+
+def test_a_step_that_turns_late_beside_blocked_ones_does_not_stop_its_account():
+    """A step waits for hosts, turns late, and is blocked behind one that nothing wakes."""
+    machine = new_machine()
+    urgent, batch = QUEUES
+    for cores in (3, 1, 2, 1):
+        machine.submit_to_new_owner(0, urgent, cores)
+    machine.submit([4], 1, True, False, batch)
+    machine.take_over()
+    machine.submit([1], 1, False, False, urgent)
+    machine.submit([2, 3], 3, True, False, urgent)
+    machine.teardown()
+
+
+def test_runs_that_are_stopped_during_a_takeover_count():
+    """The record of a cancelled job is final while its tasks end, and the owner is replaced."""
+    machine = new_machine()
+    machine.submit_to_new_owner(0, QUEUES[0], 1)
+    machine.heal()
+    machine.cancel(0)
+    machine.record()
+    machine.submit_to_new_owner(1, QUEUES[0], 3)
+    machine.teardown()
--- a/tests/dispatch/test_quotas.py
+++ b/tests/dispatch/test_quotas.py
@@ -258,6 +258,41 @@
     assert visited == (["j00"] if cause == "usage falls" else [])
 
 
+def test_a_cancelled_job_is_recorded_as_ended_when_its_runs_have_ended():
+    """Guards against a new owner that does not know the runs that are being stopped."""
+    world = make_world()
+    world.add(job("j", step(2), account=LANNA))
+    world.add(job("waiting", step(4), account=LANNA, arrived_at=1.0))
+    orders = [order for order in world.starts() if order.task.job == "j"]
+    world.accept(*orders)
+    dispatcher = world.dispatcher
+    dispatcher.cancel_job("j")
+    world.decide(0.1)
+    assert "j" not in dispatcher.dirty and dispatcher.is_stopping("j")
+    for order in orders:
+        world.hosts[order.host].end(order, EndKind.STOPPED)
+    world.deliver_reports()
+    world.decide(0.1)
+    assert "j" in dispatcher.dirty and not dispatcher.is_stopping("j")
+
+
+def test_runs_of_a_cancelled_job_that_a_new_owner_finds_count_until_they_end():
+    world = World("a", roster=("a",))
+    world.add(inherited("old", step(3), account=LANNA))
+    world.dispatcher.cancel_job("old")
+    for index in range(3):
+        task = TaskId(job="old", occurrence=0, step=0, index=index)
+        world.hosts["a"].running[(task, 1)] = RunningTask(task=task, attempt=1)
+    world.deliver_reports()
+    world.add(job("new", step(4), account=LANNA, arrived_at=5.0))
+    orders = world.decide(0.1)
+    assert len([order for order in orders if isinstance(order, StopOrder)]) == 3
+    assert world.dispatcher.quotas.used("lanna").millicores == 4 * CORES
+    world.hosts["a"].running.clear()
+    world.deliver_reports()
+    assert len(world.starts(0.1)) == 3
+
+
 def inherited(id: str, *steps, **fields):
     return job(id, *steps, inherited=True, first_attempt=500, **fields)
 
