--- a/tests/dispatch/test_quotas.py
+++ b/tests/dispatch/test_quotas.py
@@ -154,39 +154,25 @@
     assert started_jobs(world.starts(0.1)) == ["wide"] * 5
 
 
-def test_a_cancelled_gang_no_longer_blocks_its_account():
+@pytest.mark.parametrize("case", ["cancelled", "ruled out by a lower quota", "found done"])
+def test_a_gang_that_no_longer_waits_does_not_block_its_account(case):
+    """Guards against jobs that wait for good behind a gang that will not start."""
     world = make_world()
     world.add(job("small", step(2), account=LANNA))
     world.accept(*world.starts())
     world.add(job("gang", step(4, gang=True), account=LANNA, arrived_at=1.0))
     world.add(job("next", step(), account=LANNA, arrived_at=2.0))
     assert world.starts(0.1) == []
-    world.dispatcher.cancel_job("gang")
-    assert started_jobs(world.starts(0.1)) == ["next"]
-
-
-def test_a_gang_that_a_lower_quota_rules_out_no_longer_blocks_its_account():
-    world = make_world()
-    world.add(job("small", step(2), account=LANNA))
-    world.accept(*world.starts())
-    world.add(job("gang", step(4, gang=True), account=LANNA, arrived_at=1.0))
-    world.add(job("next", step(), account=LANNA, arrived_at=2.0))
-    assert world.starts(0.1) == []
-    configure(world, Account(name="lanna", quota=Sizes(millicores=3 * CORES)))
-    assert started_jobs(world.starts(0.1)) == ["next"]
-
-
-def test_a_blocked_gang_that_is_found_done_no_longer_blocks_its_account():
-    """An attempt that an earlier owner started is reported as done while the gang waits."""
-    world = make_world()
-    world.add(job("small", step(2), account=LANNA))
-    world.accept(*world.starts())
-    world.add(job("gang", step(4, gang=True), account=LANNA, arrived_at=1.0))
-    world.add(job("next", step(), account=LANNA, arrived_at=2.0))
-    assert world.starts(0.1) == []
-    earlier = TaskId(job="gang", occurrence=0, step=0, index=0)
-    world.hosts["h0"].end(RunningTask(task=earlier, attempt=1))
-    world.deliver_reports()
+    match case:
+        case "cancelled":
+            world.dispatcher.cancel_job("gang")
+        case "ruled out by a lower quota":
+            configure(world, Account(name="lanna", quota=Sizes(millicores=3 * CORES)))
+        case "found done":
+            # The end of an attempt that an earlier owner started.
+            earlier = TaskId(job="gang", occurrence=0, step=0, index=0)
+            world.hosts["h0"].end(RunningTask(task=earlier, attempt=1))
+            world.deliver_reports()
     assert started_jobs(world.starts(0.1)) == ["next"]
 
 
