Log the restarts of hosts and the runs that an owner did not start

Whether an order that is carried out late can reach a host's next incarnation could not be told from the logs: a run that a report lists and that the owner has no record of was adopted or stopped without a line, and a restart under the same id left none either. Both are logged now, with the incarnation of the host and the time on its clock.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -18,7 +18,7 @@
     TaskId,
     Unanswered,
 )
-from rhubarbferry.dispatch.tracker import RunEnded, RunRefused
+from rhubarbferry.dispatch.tracker import HostRestarted, RunEnded, RunFound, RunRefused
 
 START_ORDERS = Counter(
     "rhubarbferry_task_start_orders_total", "Orders to start a task", ["outcome"]
@@ -117,7 +117,7 @@
         )
 
     def outcomes(self, dispatcher: Dispatcher) -> None:
-        """Log the runs that have ended or were refused since the last call."""
+        """Log the runs that were found, have ended or were refused since the last call."""
         events, dispatcher.run_events = dispatcher.run_events, []
         for event in events:
             match event:
@@ -140,3 +140,21 @@
                         host=event.host,
                         reason=event.detail,
                     )
+                case RunFound():
+                    self.log.emit(
+                        "task.found",
+                        job=event.task.id.job,
+                        task=task_label(event.task.id),
+                        attempt=event.attempt,
+                        host=event.host,
+                        incarnation=event.incarnation,
+                        host_clock_s=round(event.clock_s, 3),
+                    )
+                case HostRestarted():
+                    self.log.emit(
+                        "host.restarted",
+                        host=event.host,
+                        earlier=event.earlier,
+                        incarnation=event.incarnation,
+                        unclear=event.unclear,
+                    )
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -66,7 +66,37 @@
     detail: str
 
 
-RunEvent = RunEnded | RunRefused
+@frozen(kw_only=True, slots=True)
+class RunFound:
+    """A run that a host reports and that this owner had no record of.
+
+    An earlier owner has started it, or its order was carried out late.
+
+    :param incarnation: incarnation of the host that reports it.
+    :param clock_s: time on the host's clock at the report.
+    """
+
+    task: Task
+    attempt: int
+    host: str
+    incarnation: int
+    clock_s: float
+
+
+@frozen(kw_only=True, slots=True)
+class HostRestarted:
+    """A host whose new incarnation was noticed.
+
+    :param unclear: number of runs that either incarnation may have.
+    """
+
+    host: str
+    earlier: int
+    incarnation: int
+    unclear: int
+
+
+RunEvent = RunEnded | RunRefused | RunFound | HostRestarted
 
 
 @define(kw_only=True, eq=False)
@@ -139,6 +169,12 @@
             # confirmed rules it out.
             run.deadline_s = math.inf
             self.stop(run, "its host started anew")
+        restarted = HostRestarted(
+            host=host.id,
+            earlier=host.entry.incarnation,
+            incarnation=entry.incarnation,
+            unclear=len(host.runs),
+        )
         host.entry = entry
         host.clock = None
         host.unknown_runs = {}
@@ -147,7 +183,7 @@
         host.leases_until_s = 0.0
         host.restarted_at = now
         self.changed.add(host.id)
-        return events
+        return [restarted, *events]
 
     # ------------------------------------------------------------ reports of hosts
 
@@ -238,7 +274,14 @@
         host.add(run)
         task.attempt = max(task.attempt, running.attempt)
         task.step.ever_started = True
-        events: list[RunEvent] = []
+        found = RunFound(
+            task=task,
+            attempt=run.attempt,
+            host=host.id,
+            incarnation=report.incarnation,
+            clock_s=report.clock_s,
+        )
+        events: list[RunEvent] = [found]
         other = task.run
         if other is not None and other.phase is RunPhase.RESERVED:
             events.append(self._release_reservation(other, "a run of the task was found"))
