Count a job as pending until a host has confirmed one of its runs

Seen by callers: a queue that is reported as empty while jobs in it wait.

Cause: a job counted as started once a start order was sent.

Change: a job is started once a host has confirmed a run of it, by an answer, by a report or by the end of the run. Its phase is set to running at the same time. A job that is cancelled meanwhile keeps its final phase.

Two tests assumed that an order is a start: one lets its hosts answer now, the other also checks that no run exists.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -48,7 +48,14 @@
 from rhubarbferry.dispatch.preemption import Holds
 from rhubarbferry.dispatch.quotas import Quotas
 from rhubarbferry.dispatch.takeover import Takeover
-from rhubarbferry.dispatch.tracker import RunEnded, RunEvent, RunRefused, Tracker
+from rhubarbferry.dispatch.tracker import (
+    RunEnded,
+    RunEvent,
+    RunFound,
+    RunRefused,
+    RunStarted,
+    Tracker,
+)
 from rhubarbferry.dispatch.waiting import BlockKey, WaitingSteps
 
 # A host that refused a start because of its own state receives no new task for this long.
@@ -487,7 +494,6 @@
             for run, ticket in ready:
                 host = self.tracker.hosts[run.host]
                 orders.append(reservations.order_start(run, host, ticket, checkpoint, now))
-            self._mark_started(step.job)
         return orders
 
     def _reconsider(self, step: Step, now: float) -> None:
@@ -511,6 +517,8 @@
         for event in events:
             self.run_events.append(event)
             match event:
+                case RunStarted() | RunFound():
+                    self._mark_started(event.task.step.job)
                 case RunEnded():
                     self._handle_run_ended(event, now)
                 case RunRefused():
@@ -521,6 +529,8 @@
         job = task.step.job
         if job.phase.final or task.done:
             return
+        if end.how is not EndKind.LAPSED:
+            self._mark_started(job)
         match end.how:
             case EndKind.DONE if not task.step.req.lasting:
                 self._ejector.succeeded(end.host, job.id, now=now)
@@ -633,7 +643,7 @@
         self.waiting.discard(step)
 
     def _mark_started(self, job: Job) -> None:
-        if not job.started:
+        if not job.started and not job.phase.final:
             job.started = True
             job.phase = JobPhase.RUNNING
             self._mark_dirty(job)
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -225,6 +225,7 @@
     :param inherited: whether it was accepted before the current owner took over, so that an earlier
         owner may have started any of its tasks.
     :param first_attempt: lowest attempt number that no earlier owner can have used.
+    :ivar started: whether a host has confirmed a run of one of its tasks.
     """
 
     req: JobRequest
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -66,6 +66,13 @@
     detail: str
 
 
+@frozen(kw_only=True, slots=True)
+class RunStarted:
+    """A run whose start its host has confirmed, by an answer or in a report."""
+
+    task: Task
+
+
 @frozen(kw_only=True, slots=True)
 class RunFound:
     """A run that a host reports and that this owner had no record of.
@@ -96,7 +103,7 @@
     unclear: int
 
 
-RunEvent = RunEnded | RunRefused | RunFound | HostRestarted
+RunEvent = RunStarted | RunEnded | RunRefused | RunFound | HostRestarted
 
 
 @define(kw_only=True, eq=False)
@@ -236,9 +243,11 @@
         run = host.runs.get((running.task, running.attempt))
         if run is None:
             return self._adopt_run(host, running, report, now)
+        events: list[RunEvent] = []
         if run.phase is not RunPhase.RUNNING:
             run.phase = RunPhase.RUNNING
             run.progress_at = now
+            events.append(RunStarted(task=run.task))
         run.listed = True
         run.deadline_s = report.clock_s
         run.tail_latency_s = running.tail_latency_s
@@ -249,7 +258,7 @@
             run.task.checkpoint = running.checkpoint
         if run.stopping:
             self._retry_stop(run, now)
-        return []
+        return events
 
     def _adopt_run(
         self, host: Host, running: RunningTask, report: HostReport, now: float
@@ -345,11 +354,12 @@
                 # It is not known which incarnation answered; the stop sent to the new one decides.
                 return []
             case Started(clock_s=clock_s):
-                if run.phase is not RunPhase.RUNNING:
-                    run.phase = RunPhase.RUNNING
-                    run.deadline_s = clock_s
-                    run.progress_at = now
-                return []
+                if run.phase is RunPhase.RUNNING:
+                    return []
+                run.phase = RunPhase.RUNNING
+                run.deadline_s = clock_s
+                run.progress_at = now
+                return [RunStarted(task=run.task)]
             case Refused(reason=Refusal.NOT_SENT) if self._retry(host, run, now):
                 return []
             case Refused(reason=reason):
--- a/tests/dispatch/test_approval_request_size.py
+++ b/tests/dispatch/test_approval_request_size.py
@@ -183,4 +183,4 @@
     world.deliver_reports()
     stops = [order for order in world.decide(0.1) if isinstance(order, StopOrder)]
     assert [order.task.job for order in stops] == ["others"]
-    assert not urgent.started
+    assert not urgent.started and not urgent.runs()
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -50,7 +50,9 @@
         world.hosts[order.host].end(order, EndKind.STOPPED, checkpoint="saved")
         world.now += 0.05
         world.deliver_reports()
-        assert {start.task.job for start in world.starts()} <= {"gang"}
+        starts = world.starts()
+        assert {start.task.job for start in starts} <= {"gang"}
+        world.accept(*starts)
     assert world.dispatcher.jobs["gang"].started
 
 
