Excuse a second start only by what its host had forgotten before it

The oracle's check "was started again before its end was acknowledged" had been narrowed twice on a reading of the contract.

The check is stricter than before in one point: a crash of the first host after the second start excused that start, and no longer does. A case of the oracle's own test shows it, and passed before without a violation.

--- a/tests/dispatch/host_model.py
+++ b/tests/dispatch/host_model.py
@@ -45,9 +45,9 @@
 
     :ivar done: tasks of which a run has ended done, whether or not any process has learned of it.
     :ivar done_ends: the ends of these runs.
-    :ivar restarted_after: those of them after which their task was started again, before the lease
-        of their host had lapsed. Unless their host has crashed and forgotten them, no end of the
-        task may be acknowledged any more.
+    :ivar restarted_after: those of them after which their task was started again, although their
+        host had neither crashed nor let its lease lapse until then. No end of the task may be
+        acknowledged any more.
     :ivar accounts: settings of the client accounts by name.
     :ivar account_of: name of the account of each job that has one.
     """
@@ -81,7 +81,7 @@
             raise InvariantViolated(f"{task} runs twice")
         if task in self.acknowledged_done:
             raise InvariantViolated(f"{task} starts although its end was acknowledged")
-        ends = {end for end in self.done_ends.get(task, ()) if not self.lapsed(end)}
+        ends = {end for end in self.done_ends.get(task, ()) if self.counts(end)}
         self.restarted_after.setdefault(task, set()).update(ends)
         failed = self.acknowledged_failed.get(task, set())
         if not req.gang and len(failed) >= self.attempts:
@@ -112,19 +112,16 @@
         key = (host.id, host.incarnation, ended.number)
         self.done_ends.setdefault(ended.task, set()).add(key)
 
-    def lapsed(self, end: EndKey) -> bool:
-        """Return whether the lease of an end's host has lapsed since."""
-        host = self.hosts[end[0]]
-        return host.incarnation == end[1] and end[2] <= host.lapsed_up_to
-
-    def remembered(self, end: EndKey) -> bool:
-        """Return whether the host of an end has not crashed since."""
-        host = self.hosts[end[0]]
-        return not host.down and host.incarnation == end[1]
+    def counts(self, end: EndKey) -> bool:
+        """Return whether an end's host has neither crashed nor let its lease lapse since."""
+        host_id, incarnation, number = end
+        host = self.hosts[host_id]
+        remembered = not host.down and host.incarnation == incarnation
+        return remembered and number > host.lapsed_up_to
 
     def acknowledged(self, ended: EndedTask) -> None:
         if ended.how is EndKind.DONE:
-            if any(self.remembered(end) for end in self.restarted_after.get(ended.task, ())):
+            if self.restarted_after.get(ended.task):
                 raise InvariantViolated(
                     f"{ended.task} was started again before its end was acknowledged"
                 )
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -67,11 +67,12 @@
         pytest.param("crash", False, id="the host has crashed"),
         pytest.param("restart", False, id="the host has restarted"),
         pytest.param("lapse", False, id="the host's lease had lapsed"),
+        pytest.param("late crash", True, id="the host has crashed after the second start"),
         pytest.param("late lapse", True, id="the host's lease lapsed after the second start"),
     ],
 )
 def test_oracle_rejects_a_repeated_task_unless_its_end_was_forgotten(forgotten, raises):
-    """Guards the oracle: only a crash of its host excuses a start after an end."""
+    """Guards the oracle: only what its host has forgotten before it excuses a second start."""
     found = machine()
     submit(found, 1)
     found.advance(ticks=1)
@@ -89,8 +90,11 @@
             first.advance(2 * LEASE_S)
     other.running[(task, attempt + 1)] = other.clock_s
     found.oracle.started(other, task)
-    if forgotten == "late lapse":
-        first.advance(2 * LEASE_S)
+    match forgotten:
+        case "late crash":
+            first.restart()
+        case "late lapse":
+            first.advance(2 * LEASE_S)
     other.end((task, attempt + 1), EndKind.DONE)
     with pytest.raises(InvariantViolated) if raises else nullcontext():
         other.poll(found.fence, None, other.end_count)
