Bound the work that the dispatcher's state machine submits

These tasks fill all hosts 41 times, each time takes 1.5 s in the recovery, and 60 s are allowed.

Change: no job is submitted while the open jobs fill all hosts 20 times or more. The 60 s stay. What examples no longer reach, a backlog of 23 to 93 rounds, has a test of its own: it must end within the same time for each round of work, with and without gangs.

--- a/tests/dispatch/test_backlog.py
+++ b/tests/dispatch/test_backlog.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 
 from rhubarbferry.dispatch.dispatcher import MAX_STEPS_PER_DECISION, Dispatcher
 from rhubarbferry.dispatch.messages import StartOrder
 from rhubarbferry.dispatch.takeover import Takeover
 
+from . import test_dispatcher_machine
+from .test_dispatcher_machine import (
+    HOSTS,
+    MAX_OPEN_ROUNDS,
+    QUEUES,
+    RECOVERY_TIMEOUT_S,
+    DispatcherMachine,
+)
 from .world import CORES, QUEUE, World, entry, job, step
 
 REPORT_INTERVAL_S = 0.01
@@ -65,3 +74,16 @@
     dispatcher = Dispatcher(takeover=Takeover(leases_expire_at=0.0), lease_s=6.0)
     dispatcher.decide(now=0.0, wall_s=0.0)
     assert not dispatcher.has_more
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("cores", [1, 2, 3])
+def test_a_large_backlog_ends_in_a_time_in_proportion_to_its_work(monkeypatch, gang, cores):
+    """Guards against hosts that stay idle, or tasks that are repeated, while many jobs wait."""
+    machine = DispatcherMachine()
+    machine.begin(rates=[1.0] * HOSTS)
+    for _ in range(40):
+        machine.submit([4, 3], cores, gang, True, QUEUES[0])
+    timeout_s = RECOVERY_TIMEOUT_S * machine.open_rounds() / MAX_OPEN_ROUNDS
+    monkeypatch.setattr(test_dispatcher_machine, "RECOVERY_TIMEOUT_S", timeout_s)
+    machine.teardown()
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -44,6 +44,9 @@
 # Delay after which a late order is carried out; the longest lease expires only after it.
 LATE_ORDER_DELAY_S = 4.0
 RECOVERY_TIMEOUT_S = 60.0
+# No job is submitted while the open jobs need this many rounds of all hosts. A round takes 1.5 s in
+# the recovery, and leases that have to expire and gangs that leave hosts partly idle take time too.
+MAX_OPEN_ROUNDS = 20
 QUEUES = (
     Queue(name="urgent", service="pool", priority=0, attempts=3, objective_s=5.0),
     Queue(name="batch", service="pool", priority=2, attempts=3, objective_s=500.0),
@@ -68,6 +71,12 @@
     fence: int
 
 
+def rounds(step: StepRequest) -> float:
+    """Return the share of one round of all hosts that a step takes up."""
+    slots = HOSTS * (CAPACITY.millicores // step.sizes.millicores)
+    return 1 / (slots // step.count) if step.gang else step.count / slots
+
+
 class DispatcherMachine(RuleBasedStateMachine):
     @initialize(rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=HOSTS, max_size=HOSTS))
     def begin(self, rates):
@@ -90,6 +99,7 @@
 
     # ------------------------------------------------------------ events
 
+    @precondition(lambda self: self.open_rounds() < MAX_OPEN_ROUNDS)
     @rule(
         widths=st.lists(st.integers(1, 4), min_size=1, max_size=2),
         cores=st.integers(1, 3),
@@ -204,6 +214,10 @@
 
     # ------------------------------------------------------------ helpers
 
+    def open_rounds(self) -> float:
+        """Return how often all hosts must be filled to run the steps of all open jobs once."""
+        return sum(rounds(step) for req, *_ in self.records.values() for step in req.steps)
+
     def job(self, req: JobRequest, queue: Queue, *, inherited: bool = False) -> Job:
         return Job(
             req=req,
