Commit a request that a hand-over interrupts while it is being recorded

Cause: with the write under way as the log closes, the owner can't tell whether the intent is in the log, and the successor took its record for another request with the same key. The refusal also left the key in use until the intent expired, since the former owner could not cancel it.

Ruled out: telling them apart by the request's id. It is new for each request of a client, but a frontend forwards it to another region, where two copies of one request would both be permitted to run.

Change: each attempt of a frontend to record a request has an id of its own, which is kept with the intent. An owner whose tenure has ended answers "not the owner", and the successor commits the attempt whether it finds its record or not. No other attempt is committed, and no frontend calls again once it has received "committed".

--- a/rhubarbferry/core/intents.py
+++ b/rhubarbferry/core/intents.py
@@ -54,6 +54,7 @@
 
     :param fingerprint: digest of the request's content.
     :param expires_at_ms: Unix time by which the request must have ended.
+    :param begin_id: id of the attempt to record it; empty if unknown.
     :param outcome: ``None`` while the request runs.
     :param answer: the recorded answer, opaque to this module.
     :param answer_size: size of the answer in bytes.
@@ -67,6 +68,7 @@
     fingerprint: str
     frontend_id: str
     expires_at_ms: int
+    begin_id: str = ""
     outcome: Outcome | None = None
     answer: Any = None
     answer_size: int = 0
@@ -88,6 +90,8 @@
 class Running:
     """A request with this key is running."""
 
+    intent: Intent
+
 
 @frozen(kw_only=True, slots=True)
 class Recorded:
@@ -155,7 +159,7 @@
             case None if intent.orphaned or intent.expires_at_ms <= now_ms:
                 return Unclear()
             case None:
-                return Running()
+                return Running(intent=intent)
             case Outcome.DONE:
                 return Recorded(intent=intent)
             case _:
--- a/rhubarbferry/frontend/intents.py
+++ b/rhubarbferry/frontend/intents.py
@@ -10,7 +10,7 @@
 from rhubarbferry.core.partition import PartitionId, home_of
 from rhubarbferry.frontend import metrics
 from rhubarbferry.frontend.background import Background
-from rhubarbferry.frontend.headers import RequestSpec
+from rhubarbferry.frontend.headers import RequestSpec, new_id
 from rhubarbferry.frontend.owners import NoReply, Owners, Replied
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.rpc.gen import ttypes as t
@@ -74,6 +74,8 @@
             per_region=cell.key_partitions_per_region,
         )
 
+        begin_id = new_id()
+
         def build(epoch: int) -> t.IntentRequest:
             left = max(0.0, deadline - self._clock.monotonic())
             return t.IntentRequest(
@@ -85,6 +87,7 @@
                 fingerprint=fingerprint,
                 frontend_id=self._frontend_id,
                 remaining_ms=int(left * MS_PER_S),
+                begin_id=begin_id,
             )
 
         result = await self._owners.call(
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -723,6 +723,7 @@
      - fingerprint
      - frontend_id
      - remaining_ms
+     - begin_id
 
     """
 
@@ -735,10 +736,11 @@
         'fingerprint',
         'frontend_id',
         'remaining_ms',
+        'begin_id',
     )
 
 
-    def __init__(self, partition=None, epoch=None, account=None, key=None, request_id=None, fingerprint=None, frontend_id=None, remaining_ms=None,):
+    def __init__(self, partition=None, epoch=None, account=None, key=None, request_id=None, fingerprint=None, frontend_id=None, remaining_ms=None, begin_id=None,):
         self.partition = partition
         self.epoch = epoch
         self.account = account
@@ -747,6 +749,7 @@
         self.fingerprint = fingerprint
         self.frontend_id = frontend_id
         self.remaining_ms = remaining_ms
+        self.begin_id = begin_id
 
 
 class IntentReply(TBase):
@@ -2294,6 +2297,7 @@
      - fingerprint
      - frontend_id
      - expires_at_ms
+     - begin_id
 
     """
 
@@ -2304,16 +2308,18 @@
         'fingerprint',
         'frontend_id',
         'expires_at_ms',
+        'begin_id',
     )
 
 
-    def __init__(self, account=None, key=None, request_id=None, fingerprint=None, frontend_id=None, expires_at_ms=None,):
+    def __init__(self, account=None, key=None, request_id=None, fingerprint=None, frontend_id=None, expires_at_ms=None, begin_id=None,):
         self.account = account
         self.key = key
         self.request_id = request_id
         self.fingerprint = fingerprint
         self.frontend_id = frontend_id
         self.expires_at_ms = expires_at_ms
+        self.begin_id = begin_id
 
 
 class IntentFinished(TBase):
@@ -2723,6 +2729,7 @@
     (6, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'frontend_id', 'UTF8', None, ),  # 7
     (8, TType.I64, 'remaining_ms', None, None, ),  # 8
+    (9, TType.STRING, 'begin_id', 'UTF8', None, ),  # 9
 )
 all_structs.append(IntentReply)
 IntentReply.thrift_spec = (
@@ -3225,6 +3232,7 @@
     (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'frontend_id', 'UTF8', None, ),  # 5
     (6, TType.I64, 'expires_at_ms', None, None, ),  # 6
+    (7, TType.STRING, 'begin_id', 'UTF8', None, ),  # 7
 )
 all_structs.append(IntentFinished)
 IntentFinished.thrift_spec = (
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -169,6 +169,8 @@
   6: required string fingerprint,
   7: required string frontend_id,
   8: required i64 remaining_ms,
+  // The same in all calls with which a frontend tries to record one request, and in no others.
+  9: optional string begin_id,
 }
 struct IntentReply {
   1: required IntentVerdict verdict,
@@ -597,6 +599,7 @@
 struct IntentBegun {
   1: required string account, 2: required string key, 3: required string request_id,
   4: required string fingerprint, 5: required string frontend_id, 6: required i64 expires_at_ms,
+  7: optional string begin_id,
 }
 struct IntentFinished {
   1: required string account, 2: required string key, 3: required string request_id,
--- a/rhubarbferry/scheduler/intents.py
+++ b/rhubarbferry/scheduler/intents.py
@@ -158,6 +158,9 @@
         if not self.tenure.holds():
             return self._refusal("the owner's lease has run out", STORE_RETRY_DELAY_MS)
         match self.table.verdict(at, req.fingerprint, now_ms=self._now_ms()):
+            case Running(intent=intent) if req.begin_id and intent.begin_id == req.begin_id:
+                # The caller got no reply that permits it to send the request, so it has not run.
+                return self._reply(IntentVerdict.COMMITTED)
             case Running():
                 return self._reply(IntentVerdict.RUNNING)
             case Recorded(intent=intent):
@@ -193,6 +196,7 @@
             fingerprint=req.fingerprint,
             frontend_id=req.frontend_id,
             expires_at_ms=self._now_ms() + req.remaining_ms + EXPIRY_MARGIN_MS,
+            begin_id=req.begin_id,
         )
         self._committing[at] = asyncio.Event()
         # The append runs in its own task: if the caller disconnects, its handler is cancelled,
@@ -206,6 +210,9 @@
         except LogFenced:
             return self._handle_fenced()
         except LogUnclear:
+            if self.tenure.ended:
+                # The successor finds out whether the intent is in the log, and commits it once.
+                return self._reply(IntentVerdict.NOT_OWNER)
             # The intent may be in the log. The caller receives "not run", which stays true because
             # nothing is dispatched without COMMITTED. The key stays blocked until the
             # cancellation is recorded.
@@ -220,6 +227,8 @@
         finally:
             self._committing.pop(at).set()
         self._apply_begun(begun)
+        if self.tenure.ended:
+            return self._reply(IntentVerdict.NOT_OWNER)
         if not self.tenure.holds():
             self._pending_cancellations[at] = _Cancellation(at=at, request_id=begun.request_id)
             return self._refusal("the owner's lease has run out", STORE_RETRY_DELAY_MS)
@@ -335,6 +344,7 @@
                 fingerprint=begun.fingerprint,
                 frontend_id=begun.frontend_id,
                 expires_at_ms=begun.expires_at_ms,
+                begin_id=begun.begin_id or "",
             )
         )
 
@@ -389,6 +399,7 @@
         fingerprint=intent.fingerprint,
         frontend_id=intent.frontend_id,
         expires_at_ms=intent.expires_at_ms,
+        begin_id=intent.begin_id or None,
     )
 
 
--- a/tests/scheduler/test_intents.py
+++ b/tests/scheduler/test_intents.py
@@ -246,6 +246,56 @@
         assert (await begin).verdict == V.NOT_OWNER
 
 
+@pytest.mark.parametrize("stored", [False, True], ids=["not written", "written"])
+@pytest.mark.parametrize("fault", [LogUnclear("closed during the write"), None])
+async def test_a_request_whose_write_a_hand_over_interrupts_is_committed_by_the_successor(
+    harness, stored, fault
+) -> None:
+    """Guards against a refusal of a request that is being recorded as its partition is handed over.
+
+    The successor may find the intent in the log. The request has not been sent, so it may run, and
+    no other request with its key may.
+    """
+    registry = await harness.start()
+    harness.log.faults, harness.log.stored = [fault], stored
+    harness.log.gate = asyncio.Event()
+    begin = asyncio.create_task(registry.begin(begin_request(begin_id="b1")))
+    await eventually(lambda: registry.depth() == 1)
+    harness.tenure.ended = True
+    harness.log.gate.set()
+    async with asyncio.timeout(BOUND_S):
+        assert (await begin).verdict == V.NOT_OWNER
+    await harness.crash()
+    harness.log.stored = False
+    harness.tenure.ended = False
+    registry = await harness.start()
+    if stored or fault is None:
+        assert (await registry.begin(begin_request("q2", begin_id="b2"))).verdict == V.RUNNING
+    assert (await registry.begin(begin_request(begin_id="b1"))).verdict == V.COMMITTED
+    assert (await registry.begin(begin_request("q2", begin_id="b2"))).verdict == V.RUNNING
+    assert len(harness.log.entries) == 1
+
+
+@pytest.mark.parametrize("begin_id", [None, "b2"])
+async def test_another_attempt_to_record_the_same_request_is_not_committed(
+    harness, begin_id
+) -> None:
+    """Guards against a request that runs twice because it was forwarded twice under its id."""
+    registry = await harness.start()
+    await registry.begin(begin_request(begin_id="b1"))
+    assert (await registry.begin(begin_request(begin_id=begin_id))).verdict == V.RUNNING
+
+
+async def test_a_snapshot_keeps_which_attempt_recorded_a_request(harness) -> None:
+    """Guards against a compacted log whose successor refuses the request that it has recorded."""
+    registry = await harness.start()
+    await registry.begin(begin_request(begin_id="b1"))
+    harness.log.entries[:] = list(registry.snapshot())
+    await harness.crash()
+    registry = await harness.start()
+    assert (await registry.begin(begin_request(begin_id="b1"))).verdict == V.COMMITTED
+
+
 @pytest.mark.parametrize("case", ["expired", "frontend dead", "expired, then taken over"])
 async def test_a_request_without_an_outcome_becomes_unknown_and_never_runs_again(
     harness, case
