--- a/tests/scheduler/test_intents.py
+++ b/tests/scheduler/test_intents.py
@@ -286,6 +286,18 @@
     assert (await registry.begin(begin_request(begin_id=begin_id))).verdict == V.RUNNING
 
 
+async def test_a_repeated_call_of_one_attempt_is_committed_until_its_outcome_is_recorded(
+    harness,
+) -> None:
+    """Guards against a refusal of a request whose reply "committed" was lost on the way."""
+    registry = await harness.start()
+    for _ in range(2):
+        assert (await registry.begin(begin_request(begin_id="b1"))).verdict == V.COMMITTED
+    assert len(harness.log.entries) == 1
+    await registry.finish(finish_request())
+    assert (await registry.begin(begin_request(begin_id="b1"))).verdict == V.RECORDED
+
+
 async def test_a_snapshot_keeps_which_attempt_recorded_a_request(harness) -> None:
     """Guards against a compacted log whose successor refuses the request that it has recorded."""
     registry = await harness.start()
