--- a/tests/dispatch/test_pending.py
+++ b/tests/dispatch/test_pending.py
@@ -55,3 +55,14 @@
     world.deliver_reports()
     assert pending(world) == 0
     assert world.dispatcher.jobs["j"].phase is JobPhase.RUNNING
+
+
+def test_a_late_confirmation_does_not_resume_a_cancelled_job():
+    """Guards against a cancelled job that is shown as running since a host confirms a run of it."""
+    world = World("a")
+    order = order_first_task(world)
+    world.dispatcher.cancel_job("j")
+    world.answer(order, Started(clock_s=world.now + world.hosts["a"].clock_offset))
+    world.hosts["a"].run(order)
+    world.deliver_reports()
+    assert world.dispatcher.jobs["j"].phase is JobPhase.CANCELLED
