Test that a hand-over refuses no keyed request while the store is slow

The failure of test_spill.py is brought about: a scheduler that was paused gets its partitions back under load, and the store answers after 0.15 s, so that requests are being recorded at any time.

--- a/tests/processes/test_spill.py
+++ b/tests/processes/test_spill.py
@@ -1,8 +1,9 @@
-"""Requests in a region whose runners are full, while a second region has free slots."""
+"""Requests of two regions: forwarded from a full region, and served during a hand-over."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections import Counter
 from pathlib import Path
 
@@ -23,6 +24,11 @@
     overrides="\n[requests]\nwait_poll_s = 0.5\n",
 )
 LOCAL_FRONTEND, REMOTE_FRONTEND = "frontend-attiki-1", "frontend-makedonia-1"
+LOCAL_SCHEDULER = "scheduler-attiki-1"
+# Time after which the other scheduler has taken over the partitions of a paused one.
+TAKEOVER_S = 6.0
+RESUME_DELAY_S = 0.3
+SLOW_REPLY_S = 0.15
 CALLERS = 24
 WORK_MS = 200
 LOAD_S = 8.0
@@ -93,3 +99,31 @@
     assert cross_region_bytes["out"] >= len(forwarded) * len(BODY) and cross_region_bytes["in"] > 0
     assert 0 < load_requests <= 2 * (LOAD_S + 5.0)
     assert spilled_back == 0
+
+
+async def test_keyed_requests_are_served_while_their_partition_is_handed_over(
+    tmp_path: Path,
+) -> None:
+    """Guards against a refusal of requests that are being recorded during a hand-over.
+
+    A scheduler that was paused for longer than its lease gets its partitions back under load, while
+    the store answers slowly, so that most requests are being recorded at any time.
+    """
+    async with ProcessCell(dir=tmp_path, shape=SHAPE) as cell:
+        for name in (LOCAL_FRONTEND, REMOTE_FRONTEND):
+            await cell.wait_until_served(name)
+        scheduler = cell.processes[LOCAL_SCHEDULER]
+        scheduler.signal(signal.SIGSTOP)
+        await asyncio.sleep(TAKEOVER_S)
+        await cell.set_faults("store", slow_reply_s=SLOW_REPLY_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESUME_DELAY_S, scheduler.signal, signal.SIGCONT)
+        end = loop.time() + LOAD_S
+        answers_by_caller = await asyncio.gather(
+            *(call_until(cell, caller, end) for caller in range(CALLERS))
+        )
+        records = await cell.records("runner")
+    answers = [item for answers in answers_by_caller for item in answers]
+    ran = Counter(execution["key"] for record in records for execution in record["executions"])
+    assert {answer.outcome for _, answer in answers} == {"done"}
+    assert all(ran[key] == 1 for key, _ in answers if key)
