Record no job after a takeover only because its runs were found

A job whose run a successor finds was marked for a write, though the store holds it as running already. The new test failed before.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -643,8 +643,11 @@
         self.waiting.discard(step)
 
     def _mark_started(self, job: Job) -> None:
-        if not job.started and not job.phase.final:
-            job.started = True
+        if job.started or job.phase.final:
+            return
+        job.started = True
+        if job.phase is not JobPhase.RUNNING:
+            # An inherited job that runs is on record as running already.
             job.phase = JobPhase.RUNNING
             self._mark_dirty(job)
 
--- a/tests/dispatch/test_pending.py
+++ b/tests/dispatch/test_pending.py
@@ -66,3 +66,20 @@
     world.hosts["a"].run(order)
     world.deliver_reports()
     assert world.dispatcher.jobs["j"].phase is JobPhase.CANCELLED
+
+
+def test_a_run_that_a_successor_finds_causes_no_record_of_a_running_job():
+    """Guards against a write of each running job to the store after a takeover."""
+    world = World("a")
+    order = order_first_task(world)
+    host = world.hosts["a"]
+    host.run(order)
+    world = World()
+    inherited = job("j", step(), inherited=True)
+    inherited.phase = JobPhase.RUNNING
+    world.add(inherited)
+    world.dispatcher.host_listed(entry("a"), now=world.now)
+    world.hosts["a"] = host
+    world.deliver_reports()
+    assert pending(world) == 0
+    assert not world.dispatcher.dirty
