--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -116,6 +116,16 @@
             outcome=reason or "answered",
         )
 
+    def _emit_run(self, name: str, event: RunEnded | RunFound, **fields: object) -> None:
+        self.log.emit(
+            name,
+            job=event.task.id.job,
+            task=task_label(event.task.id),
+            attempt=event.attempt,
+            host=event.host,
+            **fields,
+        )
+
     def outcomes(self, dispatcher: Dispatcher) -> None:
         """Log the runs that were found, have ended or were refused since the last call."""
         events, dispatcher.run_events = dispatcher.run_events, []
@@ -123,12 +133,9 @@
             match event:
                 case RunEnded():
                     RUN_ENDS.labels(event.how.value).inc()
-                    self.log.emit(
+                    self._emit_run(
                         "task.end",
-                        job=event.task.id.job,
-                        task=task_label(event.task.id),
-                        attempt=event.attempt,
-                        host=event.host,
+                        event,
                         outcome=event.how.value,
                         reason=event.detail or None,
                     )
@@ -141,12 +148,9 @@
                         reason=event.detail,
                     )
                 case RunFound():
-                    self.log.emit(
+                    self._emit_run(
                         "task.found",
-                        job=event.task.id.job,
-                        task=task_label(event.task.id),
-                        attempt=event.attempt,
-                        host=event.host,
+                        event,
                         incarnation=event.incarnation,
                         host_clock_s=round(event.clock_s, 3),
                     )
