Log why a run counts as hung

A run that makes no progress was stopped with the reason "no progress" alone, so a false alarm could not be told from a hung run. task.hung gives its progress, how long it has not changed, the timeout, and the progress of all members of its gang.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -18,7 +18,7 @@
     TaskId,
     Unanswered,
 )
-from rhubarbferry.dispatch.tracker import HostRestarted, RunEnded, RunFound, RunRefused
+from rhubarbferry.dispatch.tracker import HostRestarted, RunEnded, RunFound, RunHung, RunRefused
 
 START_ORDERS = Counter(
     "rhubarbferry_task_start_orders_total", "Orders to start a task", ["outcome"]
@@ -116,7 +116,7 @@
             outcome=reason or "answered",
         )
 
-    def _emit_run(self, name: str, event: RunEnded | RunFound, **fields: object) -> None:
+    def _emit_run(self, name: str, event: RunEnded | RunFound | RunHung, **fields: object) -> None:
         self.log.emit(
             name,
             job=event.task.id.job,
@@ -154,6 +154,18 @@
                         incarnation=event.incarnation,
                         host_clock_s=round(event.clock_s, 3),
                     )
+                case RunHung():
+                    percents = [value for value in event.gang_percents if value is not None]
+                    self._emit_run(
+                        "task.hung",
+                        event,
+                        percent=event.percent,
+                        stalled_s=round(event.stalled_s, 3),
+                        timeout_s=round(event.timeout_s, 3),
+                        gang=len(event.gang_percents) or None,
+                        gang_running=len(percents) or None,
+                        gang_percents=sorted(percents) or None,
+                    )
                 case HostRestarted():
                     self.log.emit(
                         "host.restarted",
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -24,7 +24,7 @@
 from rhubarbferry.dispatch.candidates import Candidates
 from rhubarbferry.dispatch.evacuation import runs_to_stop
 from rhubarbferry.dispatch.hosts import Host
-from rhubarbferry.dispatch.hung import hung_runs
+from rhubarbferry.dispatch.hung import describe_hung, hung_runs
 from rhubarbferry.dispatch.job import Job, JobPhase, JobStatus, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
     FULL_PERCENT,
@@ -615,6 +615,7 @@
     def _stop_hung(self, host: Host, now: float) -> None:
         for run in hung_runs(host, now):
             host.blocked_until = max(host.blocked_until, now + HUNG_TASK_BACKOFF_S)
+            self.run_events.append(describe_hung(run, now))
             self.tracker.stop(run, "no progress")
 
     # ------------------------------------------------------------ steps and jobs
--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -5,6 +5,7 @@
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase
 from rhubarbferry.dispatch.messages import FULL_PERCENT
+from rhubarbferry.dispatch.tracker import RunHung
 
 # A run counts as hung if its progress has not changed for MIN_HUNG_TIMEOUT_S or, if that is longer,
 # for the time that HUNG_TIMEOUT_PERCENT of its work takes. Progress is reported in whole percent,
@@ -21,6 +22,21 @@
     return [run for run in host.runs.values() if _is_hung(run, now)]
 
 
+def describe_hung(run: Run, now: float) -> RunHung:
+    """Return the inputs of the decision that a run is hung, for the log."""
+    step = run.task.step
+    percents = [task.run.percent if task.run is not None else None for task in step.tasks]
+    return RunHung(
+        task=run.task,
+        attempt=run.attempt,
+        host=run.host,
+        percent=run.percent,
+        stalled_s=now - run.progress_at,
+        timeout_s=_hung_timeout_s(run),
+        gang_percents=tuple(percents) if step.req.gang else (),
+    )
+
+
 def _is_hung(run: Run, now: float) -> bool:
     if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
         return False
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -103,7 +103,27 @@
     unclear: int
 
 
-RunEvent = RunStarted | RunEnded | RunRefused | RunFound | HostRestarted
+@frozen(kw_only=True, slots=True)
+class RunHung:
+    """A run that is stopped because it makes no progress.
+
+    :param percent: its last reported progress.
+    :param stalled_s: time since its progress last changed.
+    :param timeout_s: time after which it counts as hung.
+    :param gang_percents: progress of each member of its gang, in the order of the tasks, ``None``
+        for one without a run; empty for a run outside a gang.
+    """
+
+    task: Task
+    attempt: int
+    host: str
+    percent: float
+    stalled_s: float
+    timeout_s: float
+    gang_percents: tuple[float | None, ...] = ()
+
+
+RunEvent = RunStarted | RunEnded | RunRefused | RunFound | RunHung | HostRestarted
 
 
 @define(kw_only=True, eq=False)
