Let a finished member of a gang wait for the slowest

The members of a gang end together, so one that has finished its own work stands at 100 percent until the slowest has finished. The hang detection took that for a hung run.

Ruled out: hosts that hang, members that wait for others to start, and estimates that are too low; the other members of each gang were making progress.

A member at 100 percent now counts as hung only once all members stand at 100 percent for their timeout.

--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -40,7 +40,7 @@
 def _is_hung(run: Run, now: float) -> bool:
     if run.phase is not RunPhase.RUNNING or run.stopping or run.task.run is not run:
         return False
-    if run.task.step.req.lasting or now - run.progress_at < _hung_timeout_s(run):
+    if run.task.step.req.lasting or not _has_stalled(run, now):
         return False
     if run.task.step.req.filling and run.pace != FULL_PERCENT:
         # A filling task makes little or no progress while its pace is reduced.
@@ -57,14 +57,26 @@
 
 
 def _waits_for_gang(run: Run, now: float) -> bool:
-    """Return whether a run waits for members of its gang that have not started yet."""
+    """Return whether a run waits for other members of its gang to start or to finish."""
     step = run.task.step
     if not step.req.gang:
         return False
-    runs = [task.run for task in step.tasks]
-    return any(
+    members = [task.run for task in step.tasks]
+    if any(
         other is None
         or other.phase is not RunPhase.RUNNING
         or now - other.ordered_at < MIN_HUNG_TIMEOUT_S
-        for other in runs
+        for other in members
+    ):
+        return True
+    # The members of a gang end together, so one that has finished its own work stands at 100
+    # percent until the slowest has finished too. A member that hangs stands below 100 percent.
+    return run.percent >= FULL_PERCENT and any(
+        other is not None and (other.percent < FULL_PERCENT or not _has_stalled(other, now))
+        for other in members
     )
+
+
+def _has_stalled(run: Run, now: float) -> bool:
+    """Return whether the progress of a run has not changed for its timeout."""
+    return now - run.progress_at >= _hung_timeout_s(run)
