Break a gang for a hung member only when the others have finished

Stopping one member breaks its whole gang: the work of all members is thrown away, and the gang waits for approvals and room again. While other members make progress a hung member delays nobody, and it may resume.

A member that really hangs is found 2.5 s after the last other member made progress. It could have been found earlier by the time that the others still needed; a new attempt of the gang needs at least as long.

--- a/rhubarbferry/dispatch/hung.py
+++ b/rhubarbferry/dispatch/hung.py
@@ -69,12 +69,14 @@
         for other in members
     ):
         return True
-    # The members of a gang end together, so one that has finished its own work stands at 100
-    # percent until the slowest has finished too. A member that hangs stands below 100 percent.
-    return run.percent >= FULL_PERCENT and any(
-        other is not None and (other.percent < FULL_PERCENT or not _has_stalled(other, now))
-        for other in members
-    )
+    others = [other for other in members if other is not None and other is not run]
+    # Stopping one member breaks the whole gang. While others make progress a hung member delays
+    # nobody, it may resume, and the gang would need at least as long again.
+    if any(not _has_stalled(other, now) for other in others):
+        return True
+    # The members end together, so one that has finished its own work stands at 100 percent until
+    # all have.
+    return run.percent >= FULL_PERCENT and any(other.percent < FULL_PERCENT for other in others)
 
 
 def _has_stalled(run: Run, now: float) -> bool:
