Count an inherited task as running until a run of its own is found

After a takeover all unfinished tasks of an inherited job count against the quota of its account until their hosts have reported. Each run that a host listed was subtracted from that assumption, also a second run of the same task and a run of a task that is done, so the assumption was too small and the account could start tasks beyond its quota meanwhile. The assumption now names the tasks, and each is dropped once. Three of the four cases of the test failed before.

--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -9,7 +9,7 @@
 from attrs import Factory, define
 
 from rhubarbferry.dispatch.job import Job, Run, Step
-from rhubarbferry.dispatch.messages import Account, Sizes
+from rhubarbferry.dispatch.messages import Account, Sizes, TaskId
 
 NOTHING = Sizes()
 
@@ -34,11 +34,11 @@
 class _AssumedRuns:
     """Runs that an inherited job may have on hosts that have not reported yet.
 
-    :param size: sum of the sizes of their tasks.
+    :param tasks: size of each unfinished task of which no run has been found.
     """
 
     account: str
-    size: Sizes = NOTHING
+    tasks: dict[TaskId, Sizes]
 
 
 @define(kw_only=True, eq=False)
@@ -89,8 +89,7 @@
         self._used[name] = self._used.get(name, NOTHING).plus(size)
         assumed = self._assumed.get(run.task.id.job)
         if assumed is not None:
-            # The run is one of those that were assumed to exist.
-            self._set_assumed(assumed, assumed.size.minus(size).at_least(NOTHING))
+            self._drop_assumed(assumed, [run.task.id])
 
     def remove(self, run: Run) -> None:
         """Stop counting a run that has ended."""
@@ -111,22 +110,27 @@
         """Count all unfinished tasks of an inherited job as running."""
         if not job.account_name:
             return
-        total = NOTHING
-        for step in job.steps():
-            total = total.plus(step.req.sizes.times(len(step.tasks) - step.done_count))
-        assumed = self._assumed[job.id] = _AssumedRuns(account=job.account_name)
-        self._set_assumed(assumed, total)
-
-    def _set_assumed(self, assumed: _AssumedRuns, size: Sizes) -> None:
-        total = self._assumed_totals.get(assumed.account, NOTHING)
-        self._assumed_totals[assumed.account] = total.plus(size).minus(assumed.size)
-        assumed.size = size
+        tasks = {
+            task.id: step.req.sizes for step in job.steps() for task in step.tasks if not task.done
+        }
+        self._assumed[job.id] = _AssumedRuns(account=job.account_name, tasks=tasks)
+        total = self._assumed_totals.get(job.account_name, NOTHING)
+        for size in tasks.values():
+            total = total.plus(size)
+        self._assumed_totals[job.account_name] = total
+
+    def _drop_assumed(self, assumed: _AssumedRuns, tasks: Iterable[TaskId]) -> None:
+        """Stop counting tasks as running; those that are not counted any more are ignored."""
+        total = self._assumed_totals[assumed.account]
+        for task in tasks:
+            total = total.minus(assumed.tasks.pop(task, NOTHING))
+        self._assumed_totals[assumed.account] = total
 
     def drop_assumptions(self, jobs: Iterable[str]) -> None:
         """Count only the known runs of jobs that no other host can still be running."""
         for id in jobs:
             assumed = self._assumed.pop(id)
-            self._set_assumed(assumed, NOTHING)
+            self._drop_assumed(assumed, list(assumed.tasks))
             self._changed.add(assumed.account)
 
     @property
--- a/tests/dispatch/test_quotas.py
+++ b/tests/dispatch/test_quotas.py
@@ -262,6 +262,16 @@
     assert "j" in dispatcher.dirty and not dispatcher.is_stopping("j")
 
 
+def test_a_cancelled_job_without_an_account_is_recorded_as_ended_at_once():
+    """Guards against showing a cancelled job as running for a quota that does not exist."""
+    world = make_world()
+    world.add(job("j", step(2)))
+    world.accept(*world.starts())
+    world.dispatcher.cancel_job("j")
+    world.decide(0.1)
+    assert "j" in world.dispatcher.dirty and not world.dispatcher.is_stopping("j")
+
+
 def test_runs_of_a_cancelled_job_that_a_new_owner_finds_count_until_they_end():
     world = World("a", roster=("a",))
     world.add(inherited("old", step(3), account=LANNA))
@@ -301,6 +311,36 @@
     assert world.dispatcher.quotas.used("lanna").millicores == 4 * CORES
 
 
+# Reports of a host, each with the attempts that it lists of the first of two inherited tasks, and
+# whether that task is done.
+FOUND_RUNS = {
+    "one run": (((1,),), False),
+    "two runs of one task": (((1, 2),), False),
+    "a run after the end of another": (((1,), (2,)), False),
+    "a run of a task that is done": (((1,),), True),
+}
+
+
+@pytest.mark.parametrize(("reports", "done"), FOUND_RUNS.values(), ids=FOUND_RUNS.keys())
+def test_a_task_is_assumed_to_run_until_a_run_of_its_own_is_found(reports, done):
+    """Guards against exceeding a quota while a host that may run the other task is silent."""
+    world = World("a", roster=("a", "silent"))
+    old = inherited("old", step(2), account=LANNA)
+    first = old.add_occurrence(0, world.now).steps[0].tasks[0]
+    if done:
+        first.done = True
+        first.step.done_count = 1
+    world.add(old)
+    for attempts in reports:
+        world.now += 1.0
+        world.hosts["a"].running = {
+            (first.id, attempt): RunningTask(task=first.id, attempt=attempt) for attempt in attempts
+        }
+        world.deliver_reports()
+    used = world.dispatcher.quotas.used("lanna")
+    assert used.millicores == (len(reports[-1]) + 1) * CORES
+
+
 def test_an_inherited_job_that_does_not_run_frees_its_share_of_the_quota():
     """Guards against an account whose quota stays reserved for tasks that never ran."""
     world = World("a", roster=("a", "b"))
