Record a cancelled job without an account at once

A cancelled job is recorded as ended only when its runs have ended, so that a new owner counts them for the quota of its account. That held for all jobs, so clients of deployments without accounts saw a cancelled job as running until its runs had ended, on a silent host until its leases lapsed. Its test failed before.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -666,7 +666,8 @@
                 self.tracker.release(run)
             elif not run.task.done:
                 self.tracker.stop(run, reason)
-        if phase is JobPhase.CANCELLED and self.quotas.may_have_runs(job.id):
+        counted = job.account is not None and self.quotas.may_have_runs(job.id)
+        if phase is JobPhase.CANCELLED and counted:
             # A new owner would not know the runs of a job that is recorded as ended, and could
             # start others of the account beside them.
             self._stopping_jobs[job.id] = job
