Bound the wait of a request for a serving owner

Callers saw: while a partition had no serving owner, but the process in the table still answered "not the owner", a request was held for its whole time limit and got 504. It could be refused after 9 s, three leases, with when to come back, as it is when the owner can't be reached.

Cause: each failed call gave the wait for an owner its whole time again, also a call that failed within a millisecond. That was meant for calls that had been in a queue for long.

Evidence: six new cases fail without the change: 60 s instead of 9 s for an owner that answers "not the owner", rejects calls or loses its connections, at once or after 12 s in a queue.

Change: only the time that a call spends at the owner extends the wait. The whole wait beside calls stays at 9 s, so a takeover after a long time in a queue still has its time. A call that ends without a reply is logged with how often it found no owner, or one that was unreachable, not the owner, silent or failing.

The fake pool of the test takes an outcome for all calls after its script; the cases there are unchanged.

Run: pytest tests/frontend; make lint types contracts

--- a/rhubarbferry/frontend/owners.py
+++ b/rhubarbferry/frontend/owners.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from attrs import frozen
+from loguru import logger
 
 from rhubarbferry.core.partition import PartitionId, PartitionKind
 from rhubarbferry.ports.clock import Clock
@@ -45,7 +47,8 @@
 class Owners:
     """Look up and call the owners of partitions; repeat the lookup after a change of ownership.
 
-    :param owner_timeout_s: how long to wait for a partition to have a reachable owner.
+    :param owner_timeout_s: how long to wait for a partition to have a serving owner. The time
+        that a call spends at an owner, for example in its queue, does not count.
     :param store_lost: returns whether the store has been unreachable from this process for
         longer than a lease.
     """
@@ -83,10 +86,14 @@
         :param before_retry: awaited before repeating a call that may have taken effect.
         """
         unclear = False
-        owner_deadline = self._clock.monotonic() + self._owner_timeout_s
+        started_at = self._clock.monotonic()
+        owner_deadline = started_at + self._owner_timeout_s
+        failures: Counter[str] = Counter()
         while (now := self._clock.monotonic()) < min(deadline, owner_deadline):
             owner = self._ownership.owner(partition)
-            if owner is not None:
+            if owner is None:
+                failures["no owner"] += 1
+            else:
                 try:
                     reply = await self._pool.call(
                         owner.address,
@@ -99,19 +106,28 @@
                         return Replied(
                             reply=reply, called_at=now, epoch=owner.epoch, unclear=unclear
                         )
-                    owner_deadline = self._clock.monotonic() + self._owner_timeout_s
+                    # The call may have been in the owner's queue for a long time. An immediate
+                    # "not owner" adds nothing, so that the wait for an owner stays bounded.
+                    owner_deadline += self._clock.monotonic() - now
+                    failures["not owner"] += 1
                 except PeerUnreachable:
-                    pass
-                except (CallUnclear, CallRejected):
-                    # The call may have been queued at the owner for a long time. The wait for a
-                    # successor starts now, with the full time that a takeover may need.
-                    owner_deadline = self._clock.monotonic() + self._owner_timeout_s
+                    failures["unreachable"] += 1
+                except (CallUnclear, CallRejected) as exc:
+                    owner_deadline += self._clock.monotonic() - now
+                    failures["rejected" if isinstance(exc, CallRejected) else "no reply"] += 1
                     unclear = True
                     if before_retry is not None:
                         await before_retry()
             if self._cannot_be_served(partition):
                 return NoReply(unclear=unclear, store_lost=True)
             await self._clock.sleep(LOOKUP_INTERVAL_S)
+        logger.warning(
+            "{} of {} got no reply in {:.2f} s: {}",
+            method,
+            partition,
+            self._clock.monotonic() - started_at,
+            ", ".join(f"{count} x {failure}" for failure, count in failures.items()),
+        )
         return NoReply(unclear=unclear)
 
     def _cannot_be_served(self, partition: PartitionId) -> bool:
--- a/tests/frontend/test_owners.py
+++ b/tests/frontend/test_owners.py
@@ -13,16 +13,22 @@
 
 
 class ScriptedPool:
-    """A pool that follows a script: the duration and the result of each call."""
+    """A pool that follows a script: the duration and the result of each call.
 
-    def __init__(self, clock: ManualClock, steps: list) -> None:
+    :param default: duration and result of all calls after the script.
+    """
+
+    def __init__(
+        self, clock: ManualClock, steps: list, *, default: tuple = (0.0, PeerUnreachable("nobody"))
+    ) -> None:
         self.clock = clock
         self.steps = list(steps)
+        self.default = default
         self.sent: list[int] = []
 
     async def call(self, address, method, req, *, timeout_s, region=""):
         self.sent.append(req)
-        seconds, end = self.steps.pop(0) if self.steps else (0.0, PeerUnreachable("nobody"))
+        seconds, end = self.steps.pop(0) if self.steps else self.default
         self.clock.now += min(seconds, timeout_s)
         if isinstance(end, Exception):
             raise end
@@ -89,6 +95,43 @@
         assert result.called_at <= clock.now
 
 
+NO_OWNER_CASES = [
+    ("not owner", NOT_OWNER, 0.0),
+    ("not owner, after a long wait", NOT_OWNER, 12.0),
+    ("rejected", CallRejected("x"), 0.0),
+    ("rejected, after a long wait", CallRejected("x"), 12.0),
+    ("lost", REPLY_LOST, 0.0),
+    ("lost, after a long wait", REPLY_LOST, 12.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("end", "first_call_s"),
+    [case[1:] for case in NO_OWNER_CASES],
+    ids=[case[0] for case in NO_OWNER_CASES],
+)
+async def test_the_wait_for_an_owner_ends_although_calls_fail_at_once(end, first_call_s) -> None:
+    """Guards against requests that are held for their whole time limit without an owner.
+
+    The process that the table names as the owner keeps failing each call at once. A request waits
+    as long as a takeover may take, also after a long time in the queue of an earlier owner.
+    """
+    clock = ManualClock()
+    pool = ScriptedPool(clock, [(first_call_s, end)], default=(0.001, end))
+    view = FakeOwnership(owners={str(PARTITION): ("address", 4)})
+    owners = Owners(clock=clock, ownership=view, pool=pool, owner_timeout_s=9.0)
+    started = clock.now
+    result = await owners.call(
+        PARTITION,
+        "grant",
+        lambda epoch: epoch,
+        deadline=started + 60.0,
+        not_owner=lambda reply: reply == NOT_OWNER,
+    )
+    assert isinstance(result, NoReply)
+    assert 9.0 <= clock.now - started - first_call_s < 9.5
+
+
 async def test_without_an_owner_no_call_is_sent() -> None:
     clock = ManualClock()
     pool = ScriptedPool(clock, [])
