Record a cancelled job without an account at once

Cause: holds the record of a cancelled job back until all its runs have ended, so that a new owner counts them against the account's quota. A task that ends done meanwhile changes no state, so its end is acknowledged with nothing on record. The new owner of the state machine has neither the end nor the cancellation and starts the task again.

Callers saw nothing of it that is known: in a cell the cancellation has a key of its own, which stays until the job's end is on record, and a new owner reads it after the jobs and before it decides. That key was then the only protection, in all deployments, for what only quotas need.

Change: runs are counted by job for jobs of an account only. A cancelled job without an account is recorded as ended at once, as before. For jobs of an account nothing changes, and the cancellation's key is what protects them.

Tests: the step list and the case without an account in tests/dispatch/test_cancelled_jobs.py failed before. Run: pytest tests/dispatch; make lint types contracts

--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -81,10 +81,10 @@
 
     def add(self, run: Run) -> None:
         """Count a run."""
-        self._runs_of_jobs[run.task.id.job] += 1
         name = run.task.step.job.account_name
         if not name:
             return
+        self._runs_of_jobs[run.task.id.job] += 1
         size = run.task.step.req.sizes
         self._used[name] = self._used.get(name, NOTHING).plus(size)
         assumed = self._assumed.get(run.task.id.job)
@@ -94,17 +94,18 @@
 
     def remove(self, run: Run) -> None:
         """Stop counting a run that has ended."""
+        name = run.task.step.job.account_name
+        if not name:
+            return
         id = run.task.id.job
         self._runs_of_jobs[id] -= 1
         if not self._runs_of_jobs[id]:
             del self._runs_of_jobs[id]
-        name = run.task.step.job.account_name
-        if name:
-            self._used[name] = self._used[name].minus(run.task.step.req.sizes)
-            self._changed.add(name)
+        self._used[name] = self._used[name].minus(run.task.step.req.sizes)
+        self._changed.add(name)
 
     def may_have_runs(self, job: str) -> bool:
-        """Return whether a job has a run on any host, or is assumed to have one."""
+        """Return whether a job of an account has a run on any host, or is assumed to have one."""
         return job in self._runs_of_jobs or job in self._assumed
 
     def assume_running(self, job: Job) -> None:
