Keep a partition's owner until its move can be written

Callers saw: requests for a service got no slot during a whole outage of the store, although the owner of its runners and a majority of the frontends were well, if the outage began as partitions moved to a scheduler that had just joined. For request keys it was 503.

Cause: an owner ended the tenures of the partitions to be moved, waited up to 60 ms so that not all planners write at once, read all records again, and only then wrote the table. A store that fell silent in that delay left the partitions without an owner until it answered again: a tenure that has ended isn't resumed.

It is one way in which the request of test_store_outage can have been told "not the owner" for long.

Change: the table is planned as if the tenures had ended, the delay and the read come first, and the tenures are ended right before the write, if the read shows that the moves are still due. The first read is left out. A store that falls silent during the write itself still leaves them without an owner.

--- a/rhubarbferry/coordination/planner.py
+++ b/rhubarbferry/coordination/planner.py
@@ -99,14 +99,8 @@
         member = self._own_member()
         if member is None or not self._membership.holds(member.incarnation):
             return
-        if self._moves_due(member):
-            # If tenures were ended while the store is down, their partitions would have no owner
-            # until it is available again. So the store must answer first, and the moves must still
-            # be required.
-            await self._source.refresh()
-            self._tenures.end_all(self._misplaced(member))
-            self._misplaced_since = None
-        if self._next_table() is None:
+        moving = self._misplaced(member) if self._moves_due(member) else frozenset()
+        if self._next_table(moving) is None:
             return
         await self._clock.sleep(
             self._rank(member) * DELAY_PER_RANK_S + self._jitter() * DELAY_PER_RANK_S
@@ -115,6 +109,12 @@
         # partition is reassigned only after a full read, which also returns the table to be
         # replaced.
         await self._source.refresh()
+        if moving:
+            # If tenures were ended while the store is down, their partitions would have no owner
+            # until it is available again. So the store must have answered just before, and the
+            # moves must still be required.
+            self._tenures.end_all(moving & self._misplaced(member))
+            self._misplaced_since = None
         table = self._next_table()
         if table is None:
             return
@@ -132,13 +132,17 @@
             return evolve(member, draining=True)
         return member
 
-    def _next_table(self) -> Table | None:
+    def _next_table(self, moving: frozenset[PartitionId] = frozenset()) -> Table | None:
+        """Return the table to be written, or ``None`` if the stored one is up to date.
+
+        :param moving: partitions whose tenures are to be ended before the table is written.
+        """
         state = self._mirror.state
         member = self._own_member()
         if member is None or not state.table_readable:
             return None
         owned = state.table.owned_by(member)
-        released = frozenset(p for p in owned if p not in self._tenures.current)
+        released = moving | frozenset(p for p in owned if p not in self._tenures.current)
         members = state.members.values()
         table = permitted(state.table, self._target_table(), members, released)
         table = self._guard_sets.apply(table, members)
