Test that a new owner starts nothing of a job whose cancellation is stored

What keeps a task from being repeated whose end was acknowledged while its cancelled job was stopped: the key of the cancellation, read after the jobs. The test fails if the listing is applied in the order of its keys, in which cancellations come before the jobs.

Run: pytest tests/cell/test_job_watch.py

--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -136,6 +136,17 @@
     assert time.monotonic() - job.arrived_at == pytest.approx(age_s, abs=0.5)
 
 
+async def test_new_owner_starts_nothing_of_a_job_whose_cancellation_is_stored(store):
+    """Guards against repeating tasks whose ends were acknowledged while their job was stopped."""
+    await accept(store, "a", JobPhase.RUNNING)
+    await store.commit(Txn(put=(Put(key=keys.CANCELS + "a", value=b""),)))
+    watcher = await job_watcher(store)
+    await watcher.load()
+    assert watcher.ctx.dispatcher.jobs["a"].phase is JobPhase.CANCELLED
+    assert not watcher.ctx.dispatcher.waiting
+    assert watcher.ctx.removable == []
+
+
 async def test_job_from_a_notice_and_the_watch_is_added_once(store):
     watcher = await job_watcher(store)
     await watcher.load()
