--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -53,7 +53,9 @@
 
     def __attrs_post_init__(self) -> None:
         own = self.ctx.process.own
-        self._policy_requests = PolicyRequestQueue(own=own.name, region=own.region)
+        self._policy_requests = PolicyRequestQueue(
+            own=own.name, region=own.region, source=self.ctx.dispatcher
+        )
 
     def start_capacity(self) -> float:
         """Return how many more tasks may be started now, ``inf`` if the lag is within its goal."""
@@ -72,15 +74,18 @@
             case PaceOrder():
                 self.spawn(self._pace(order))
             case ApprovalRequest():
-                job = self.ctx.dispatcher.jobs.get(order.step.job)
-                self._policy_requests.add(
-                    order, priority=job.queue.priority if job is not None else 0
-                )
+                self._policy_requests.add(order, now=self.ctx.now())
 
     def request_approvals(self, members: list[Member]) -> None:
         """Distribute the queued approval requests among the processes of the cell."""
-        for assignment in self._policy_requests.assign(members):
+        now = self.ctx.now()
+        for assignment in self._policy_requests.release_absent(members):
+            self.log.approval(assignment, approved=None, reason="its process has left the cell")
+            self.ctx.dispatcher.approval_request_abandoned(assignment.order, now=now)
+            self.ctx.wake.set()
+        for assignment in self._policy_requests.assign(members, now=now):
             self.spawn(self._request_approval(assignment))
+        self.log.policy_requests(self._policy_requests, processes=len(members), now=now)
 
     @contextmanager
     def _counted_call(self) -> Iterator[None]:
@@ -206,10 +211,13 @@
                     assignment.member, order.step, order.hosts, timeout_s=timeout_s
                 )
         except WorkerError as exc:
-            self.log.approval(assignment, approved=None, reason=str(exc)[:200])
-            self.ctx.dispatcher.approval_request_failed(order, now=self.ctx.now())
+            now = self.ctx.now()
+            if self._policy_requests.done(assignment, answered=False, now=now):
+                self.log.approval(assignment, approved=None, reason=str(exc)[:200])
+                self.ctx.dispatcher.approval_request_failed(order, now=now)
         else:
             now = self.ctx.now()
+            self._policy_requests.done(assignment, answered=True, now=now)
             self.log.approval(assignment, approved=len(response.approvals), took_s=now - sent_at)
             self.ctx.dispatcher.handle_approvals(
                 ApprovalResponse(
@@ -222,5 +230,5 @@
                 now=now,
             )
         finally:
-            self._policy_requests.done(assignment.member.name)
+            self._policy_requests.done(assignment, answered=False, now=self.ctx.now())
             self.ctx.wake.set()
--- a/rhubarbferry/dispatch/approval_requests.py
+++ b/rhubarbferry/dispatch/approval_requests.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Container, Iterable, Mapping, Sequence
 
+from attrs import frozen
+
 from rhubarbferry.dispatch import reservations
 from rhubarbferry.dispatch.approval_request_size import hosts_to_request
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Step
-from rhubarbferry.dispatch.messages import ApprovalRequest
-from rhubarbferry.dispatch.placement import eligible_hosts
+from rhubarbferry.dispatch.messages import ApprovalCost, ApprovalRequest
+from rhubarbferry.dispatch.objective import Urgency
+from rhubarbferry.dispatch.placement import eligible_hosts, free_slots
 
 # Maximum number of hosts in one call; the policy service refuses calls with more. Larger requests
 # are split into several calls.
@@ -18,6 +21,38 @@
 APPROVAL_RETRY_INTERVAL_S = 0.3
 
 
+@frozen(kw_only=True, order=True, slots=True)
+class RequestRank:
+    """Order in which approval requests are sent, compared field by field; lower ranks go first.
+
+    :param urgency: urgency of the step now.
+    :param priority: priority of its queue.
+    :param unreserved: whether no room is reserved for it. Reserved room is idle until the tickets
+        arrive, so it comes first.
+    :param work: processor in millicores that its tasks without a run would use, negated.
+    :param arrived_at: when its job was accepted.
+    """
+
+    urgency: Urgency
+    priority: int
+    unreserved: bool = True
+    work: int = 0
+    arrived_at: float = 0.0
+
+
+def rank_request(step: Step, now: float) -> RequestRank:
+    """Return the rank of a step's approval request."""
+    job = step.job
+    stalled = len(step.waiting_tasks()) + len(reserved := reservations.reserved(step))
+    return RequestRank(
+        urgency=job.urgency(step, now).urgency,
+        priority=job.queue.priority,
+        unreserved=not reserved,
+        work=-stalled * step.req.room.millicores,
+        arrived_at=job.arrived_at,
+    )
+
+
 def next_approval_request(
     step: Step,
     open_hosts: Sequence[Host],
@@ -45,10 +80,13 @@
         wanted = _held_without_ticket(step, hosts, held, now)
     if not wanted and step.waiting_tasks():
         wanted = _undecided_hosts(step, open_hosts, share)
+        if wanted and step.req.gang:
+            wanted += _expiring_hosts(step, open_hosts, cost, now + cost.duration_s(len(wanted)))
     if not wanted:
         return None
     approvals.pending.update(wanted)
-    return ApprovalRequest(step=step.id, hosts=tuple(wanted), cost=cost)
+    objective_s = step.job.queue.objective_s
+    return ApprovalRequest(step=step.id, hosts=tuple(wanted), cost=cost, objective_s=objective_s)
 
 
 def has_undecided_room(step: Step, open_hosts: Iterable[Host]) -> bool:
@@ -70,6 +108,30 @@
     ]
 
 
+def _expiring_hosts(
+    step: Step, open_hosts: Sequence[Host], cost: ApprovalCost, answer_at: float
+) -> list[str]:
+    """Return the approved hosts with room for a gang whose tickets expire before the answer.
+
+    Without them, the gang would need a further request once the answer has approved enough hosts.
+
+    :param answer_at: when the answer about the other hosts is expected.
+    """
+    approved = [host for host in open_hosts if host.id in step.approvals.approved]
+    slots = {host.id: free_slots(step, host, host.room) for host in approved}
+    approved.sort(key=lambda host: (-slots[host.id], host.id))
+    expiring: list[str] = []
+    missing = len(step.tasks)
+    for host in approved:
+        if missing <= 0 or slots[host.id] <= 0:
+            break
+        missing -= slots[host.id]
+        expires_at = step.approvals.ticket_expires_at(host.id, host.entry.incarnation)
+        if expires_at <= answer_at + cost.per_host_s * len(expiring):
+            expiring.append(host.id)
+    return expiring
+
+
 def _held_without_ticket(
     step: Step, hosts: Mapping[str, Host], held: Container[str], now: float
 ) -> list[str]:
