--- a/rhubarbferry/cell/policy_requests.py
+++ b/rhubarbferry/cell/policy_requests.py
@@ -160,7 +160,7 @@
                 break
             long = _is_long(waiting.order)
             available = min(len(idle_by_distance), max_long - self._long_in_progress) if long else 1
-            parts = _split(waiting.order, available, contended=bool(self._long))
+            parts = _split(waiting.order, available, others=len(self._long))
             for part in parts[:available]:
                 member = idle_by_distance.pop() if long else idle_by_distance.popleft()
                 assigned.append(self._start(member, waiting, part, now))
@@ -227,25 +227,21 @@
     return _duration_s(order) > LONG_REQUEST_S
 
 
-def _split(
-    order: ApprovalRequest, available: int, *, contended: bool = False
-) -> list[ApprovalRequest]:
+def _split(order: ApprovalRequest, available: int, *, others: int) -> list[ApprovalRequest]:
     """Split a request into requests with fewer hosts each.
 
-    The fixed time of each part is lost to other requests. So while others wait, the parts are no
-    smaller than an answer within the objective requires.
+    The fixed time of each part is lost to other requests. So the more of them wait, the fewer
+    parts there are, down to what an answer within the objective requires.
 
     :param available: number of processes available for the parts.
-    :param contended: whether other long requests wait.
+    :param others: number of other long requests that wait.
     """
     hosts = len(order.hosts)
     count = math.ceil(hosts / MAX_HOSTS_PER_CALL)
     if _is_long(order):
-        if contended:
-            count = math.ceil(hosts / _max_hosts(order))
-        else:
-            useful = math.ceil(hosts / _min_hosts(order))
-            count = max(count, min(useful, int(available * IDLE_PROCESS_SHARE)))
+        useful = math.ceil(hosts / _min_hosts(order))
+        affordable = int(available * IDLE_PROCESS_SHARE / (1 + others))
+        count = max(math.ceil(hosts / _max_hosts(order)), min(useful, affordable))
     size = math.ceil(hosts / count)
     return [
         evolve(order, hosts=order.hosts[start : start + size]) for start in range(0, hosts, size)
--- a/tests/cell/test_policy_requests.py
+++ b/tests/cell/test_policy_requests.py
@@ -303,7 +303,8 @@
     queue = new_queue()
     first = evolve(slow_request(hosts), objective_s=objective_s)
     queue.add(first, now=0.0)
-    queue.add(request_for("other", LONG), now=0.0)
+    for index in range(7):
+        queue.add(request_for(f"other{index}", LONG), now=0.0)
     assignments = queue.assign([member(f"m{index}") for index in range(16)], now=0.0)
     parts = [item.order for item in assignments if item.order.step == first.step]
     assert [len(part.hosts) for part in parts] == sizes
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -102,3 +102,16 @@
     assert policy.run(world.now + 2 * VALID_S) == []
     started = policy.run(world.now + 4 * (answer_s + 0.5), hosts_to_add=hosts[-1:])
     assert {order.host for order in started} == set(hosts)
+
+
+def test_expired_tickets_are_renewed_with_the_request_for_the_last_host():
+    """Guards against two consecutive requests when a gang that waited for room finds a host."""
+    answer_s = 0.5
+    world = World(*HOSTS[:-1], millicores=8000)
+    policy = Policy(world, answer_s=answer_s)
+    world.add(job("gang", step(len(HOSTS), millicores=8000, gang=True), queue=QUEUE))
+    assert policy.run(world.now + 2 * VALID_S) == []
+    before = policy.request_count
+    started = policy.run(world.now + answer_s + 0.5, hosts_to_add=HOSTS[-1:])
+    assert {order.host for order in started} == set(HOSTS)
+    assert policy.request_count == before + 1
