--- a/rhubarbferry/dispatch/approval_requests.py
+++ b/rhubarbferry/dispatch/approval_requests.py
@@ -81,7 +81,8 @@
     if not wanted and step.waiting_tasks():
         wanted = _undecided_hosts(step, open_hosts, share)
         if wanted and step.req.gang:
-            wanted += _expiring_hosts(step, open_hosts, cost, now + cost.duration_s(len(wanted)))
+            named = [hosts[id] for id in wanted]
+            wanted += _expiring_hosts(step, open_hosts, named, cost, now)
     if not wanted:
         return None
     approvals.pending.update(wanted)
@@ -109,21 +110,23 @@
 
 
 def _expiring_hosts(
-    step: Step, open_hosts: Sequence[Host], cost: ApprovalCost, answer_at: float
+    step: Step, open_hosts: Sequence[Host], named: Sequence[Host], cost: ApprovalCost, now: float
 ) -> list[str]:
     """Return the approved hosts with room for a gang whose tickets expire before the answer.
 
     Without them, the gang would need a further request once the answer has approved enough hosts.
 
-    :param answer_at: when the answer about the other hosts is expected.
+    :param named: the undecided hosts that the request names.
     """
     approved = [host for host in open_hosts if host.id in step.approvals.approved]
-    slots = {host.id: free_slots(step, host, host.room) for host in approved}
-    approved.sort(key=lambda host: (-slots[host.id], host.id))
-    expiring: list[str] = []
+    slots = {host.id: free_slots(step, host, host.room) for host in (*approved, *named)}
+    if sum(slots.values()) < len(step.tasks):
+        return []
+    answer_at = now + cost.duration_s(len(named))
     missing = len(step.tasks)
-    for host in approved:
-        if missing <= 0 or slots[host.id] <= 0:
+    expiring: list[str] = []
+    for host in sorted(approved, key=lambda host: (-slots[host.id], host.id)):
+        if missing <= 0 or not slots[host.id]:
             break
         missing -= slots[host.id]
         expires_at = step.approvals.ticket_expires_at(host.id, host.entry.incarnation)
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -115,3 +115,14 @@
     started = policy.run(world.now + answer_s + 0.5, hosts_to_add=HOSTS[-1:])
     assert {order.host for order in started} == set(HOSTS)
     assert policy.request_count == before + 1
+
+
+def test_expired_tickets_are_not_renewed_while_there_is_too_little_room():
+    """Guards against requests that take longer for tickets that expire before the gang starts."""
+    world = World(*HOSTS[:-1], millicores=8000)
+    policy = Policy(world, answer_s=0.5)
+    world.add(job("gang", step(len(HOSTS) + 1, millicores=8000, gang=True), queue=QUEUE))
+    assert policy.run(world.now + 2 * VALID_S) == []
+    world.add_host(HOSTS[-1])
+    (order,) = [item for item in world.decide(0.1) if isinstance(item, ApprovalRequest)]
+    assert order.hosts == HOSTS[-1:]
