--- a/rhubarbferry/dispatch/approval_requests.py
+++ b/rhubarbferry/dispatch/approval_requests.py
@@ -17,6 +17,9 @@
 # Maximum number of hosts in one call; the policy service refuses calls with more. Larger requests
 # are split into several calls.
 MAX_HOSTS_PER_CALL = 100
+# The tickets of further approved hosts are renewed with a request as long as this adds at most this
+# share of the request's fixed time.
+RENEWAL_TIME_SHARE = 0.25
 # Minimum time between a failed approval request and the next one for the same step.
 APPROVAL_RETRY_INTERVAL_S = 0.3
 
@@ -76,6 +79,8 @@
     if cost is None or approvals.pending or now < approvals.failed_at + APPROVAL_RETRY_INTERVAL_S:
         return None
     wanted = reservations.hosts_needing_tickets(step, hosts, now)
+    if wanted and step.waiting_tasks():
+        wanted += _soon_free_hosts(step, open_hosts, wanted, cost, now)
     if not wanted:
         wanted = _held_without_ticket(step, hosts, held, now)
     if not wanted and step.waiting_tasks():
@@ -109,6 +114,38 @@
     ]
 
 
+def _soon_free_hosts(
+    step: Step, open_hosts: Sequence[Host], named: Sequence[str], cost: ApprovalCost, now: float
+) -> list[str]:
+    """Return approved hosts on which tasks of a step may start while new tickets are valid.
+
+    Room becomes free on one host at a time. A request for each of them would take a process for the
+    fixed time again, and the room would be idle until its response.
+
+    :param named: the hosts that the request names already.
+    """
+    limit = MAX_HOSTS_PER_CALL - len(named)
+    if cost.per_host_s:
+        limit = min(limit, int(cost.decision_s * RENEWAL_TIME_SHARE / cost.per_host_s))
+    answer_at = now + cost.duration_s(len(named))
+    approvals = step.approvals
+    found = [
+        host
+        for host in open_hosts
+        if host.id in approvals.approved
+        and host.id not in named
+        and approvals.ticket_expires_at(host.id, host.entry.incarnation) <= answer_at
+    ]
+    if len(found) > limit:
+        found.sort(key=lambda host: _free_in_s(host, now))
+    return [host.id for host in found[: max(0, limit)]]
+
+
+def _free_in_s(host: Host, now: float) -> float:
+    """Return the time until the first run on a host is expected to end."""
+    return min((run.remaining_s(now) for run in host.runs.values()), default=0.0)
+
+
 def _expiring_hosts(
     step: Step, open_hosts: Sequence[Host], named: Sequence[Host], cost: ApprovalCost, now: float
 ) -> list[str]:
