--- a/rhubarbferry/dispatch/approval_requests.py
+++ b/rhubarbferry/dispatch/approval_requests.py
@@ -83,7 +83,7 @@
         wanted += _soon_free_hosts(step, open_hosts, wanted, cost, now)
     if not wanted:
         wanted = _held_without_ticket(step, hosts, held, now)
-    if not wanted and step.waiting_tasks():
+    if not wanted and _may_be_placed(step):
         wanted = _undecided_hosts(step, open_hosts, share)
         if wanted and step.req.gang:
             named = [hosts[id] for id in wanted]
@@ -95,6 +95,12 @@
     return ApprovalRequest(step=step.id, hosts=tuple(wanted), cost=cost, objective_s=objective_s)
 
 
+def _may_be_placed(step: Step) -> bool:
+    """Return whether a step has tasks to place; a gang is placed when all its members wait."""
+    waiting = len(step.waiting_tasks())
+    return waiting == len(step.tasks) if step.req.gang else waiting > 0
+
+
 def has_undecided_room(step: Step, open_hosts: Iterable[Host]) -> bool:
     """Return whether a host that is neither approved nor denied for a step has room for it."""
     if step.job.queue.advice is None:
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -13,6 +13,7 @@
     ApprovalCost,
     ApprovalRequest,
     ApprovalResponse,
+    EndKind,
     Queue,
     StartOrder,
 )
@@ -126,3 +127,21 @@
     world.add_host(HOSTS[-1])
     (order,) = [item for item in world.decide(0.1) if isinstance(item, ApprovalRequest)]
     assert order.hosts == HOSTS[-1:]
+
+
+def test_a_gang_requests_no_approvals_while_members_are_still_running():
+    """Guards against a request for each host in turn while a broken gang is being stopped."""
+    world = World(*HOSTS[:2], millicores=16_000)
+    policy = Policy(world, answer_s=0.5)
+    world.add(job("gang", step(2, millicores=8000, gang=True, estimate=60.0), queue=QUEUE))
+    started = policy.run(world.now + 2.0)
+    world.accept(*started)
+    world.add_host(HOSTS[2], millicores=16_000)
+    ended = started[0]
+    world.hosts[ended.host].end(ended, EndKind.STOPPED)
+    world.deliver_reports()
+    asked = [item for _ in range(20) for item in world.decide(0.1)]
+    assert not any(isinstance(item, ApprovalRequest) for item in asked)
+    other = started[1]
+    world.hosts[other.host].end(other, EndKind.STOPPED)
+    assert policy.run(world.now + 2.0) != []
