--- a/rhubarbferry/core/fairshare.py
+++ b/rhubarbferry/core/fairshare.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import define, frozen
 
@@ -26,6 +26,17 @@
 PAST_USAGE_WEIGHT = 10.0
 
 
+def dominant_share(used: Iterable[float], total: Iterable[float]) -> float:
+    """Return the largest fraction of the total that is used in any dimension.
+
+    :param used: amount used in each dimension.
+    :param total: capacity in each dimension; those of capacity 0 are ignored.
+    """
+    return max(
+        (value / whole for value, whole in zip(used, total, strict=True) if whole), default=0.0
+    )
+
+
 @frozen(kw_only=True, slots=True)
 class UsageDigest:
     """Declared sizes of the tasks in one partition, per account.
@@ -145,6 +156,4 @@
 
     def _dominant_mean(self, used: tuple[float, float, float]) -> float:
         total = (self._total.millicores, self._total.memory_bytes, self._total.accelerators)
-        return max(
-            (value / whole for value, whole in zip(used, total, strict=True) if whole), default=0.0
-        )
+        return dominant_share(used, total)
--- a/rhubarbferry/dispatch/candidates.py
+++ b/rhubarbferry/dispatch/candidates.py
@@ -2,14 +2,65 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from attrs import Factory, define
 
+from rhubarbferry.dispatch.account_shares import AccountShares
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Step
-from rhubarbferry.dispatch.waiting import WaitingSteps
+from rhubarbferry.dispatch.waiting import Position, WaitingSteps
+
+
+@define(kw_only=True, eq=False, slots=True)
+class _AccountQueues:
+    """Candidates of one urgency and priority: a queue for each account, and a heap of accounts.
+
+    An entry of the heap holds the standing of the account when it was pushed, and the position of
+    its first step.
+    """
+
+    _queues: dict[str, deque[tuple[Position, Step]]] = Factory(dict)
+    _heap: list[tuple[float, Position, str]] = Factory(list)
+
+    def add(self, step: Step, position: Position) -> None:
+        """Add a step; steps of one account must be added in the order of their positions."""
+        self._queues.setdefault(step.job.account_name, deque()).append((position, step))
+
+    def sort(self, shares: AccountShares) -> None:
+        """Sort the accounts by their present standings."""
+        self._heap = [
+            (shares.standing(account), steps[0][0], account)
+            for account, steps in self._queues.items()
+            if steps
+        ]
+        heapq.heapify(self._heap)
+
+    def pop(self, shares: AccountShares) -> Step | None:
+        """Return the first step of the account with the lowest standing."""
+        while self._heap:
+            standing, first, account = self._heap[0]
+            current = shares.standing(account)
+            if current > standing:
+                # Steps of the account have been placed since.
+                heapq.heapreplace(self._heap, (current, first, account))
+                continue
+            steps = self._queues[account]
+            _, step = steps.popleft()
+            if steps:
+                heapq.heapreplace(self._heap, (current, steps[0][0], account))
+            else:
+                heapq.heappop(self._heap)
+            return step
+        return None
+
+    def __iter__(self) -> Iterator[Step]:
+        for steps in self._queues.values():
+            for _, step in steps:
+                yield step
 
 
 @define(kw_only=True, eq=False)
@@ -18,14 +69,20 @@
 
     All candidates that were collected together are tried before new ones are collected. Otherwise
     steps that come first in the order and find no room could starve the others.
+
+    Their order is that of their positions. Among steps of one urgency and priority, those of the
+    account with the lowest standing come first, if there are several accounts; the standings
+    change with each placement.
     """
 
     waiting: WaitingSteps
+    shares: AccountShares = Factory(AccountShares)
     _included: dict[Step, None] = Factory(dict)
     _queue: deque[Step] = Factory(deque)
+    _classes: deque[_AccountQueues] = Factory(deque)
 
     def __bool__(self) -> bool:
-        return bool(self._queue)
+        return bool(self._queue or self._classes)
 
     def include(self, step: Step) -> None:
         """Include a step the next time that candidates are collected."""
@@ -49,7 +106,24 @@
                     continue
                 if any(_may_fit(step, host) for host in changed):
                     found.add(step)
-        self._queue.extend(sorted(found, key=self.waiting.position))
+        ordered = sorted(found, key=self.waiting.position)
+        if not self.shares.enabled:
+            self._queue.extend(ordered)
+            return
+        for _, steps in itertools.groupby(ordered, key=self._urgency_and_priority):
+            queues = _AccountQueues()
+            for step in steps:
+                queues.add(step, self.waiting.position(step))
+            self._classes.append(queues)
+        self.update_standings()
+
+    def _urgency_and_priority(self, step: Step) -> tuple[int, float]:
+        return self.waiting.position(step)[:2]
+
+    def update_standings(self) -> None:
+        """Sort the accounts again, since runs may have ended; call before each decision."""
+        if self._classes:
+            self._classes[0].sort(self.shares)
 
     def pop(self) -> Step | None:
         """Return the next candidate that still waits, or ``None`` if none is left."""
@@ -57,6 +131,14 @@
             step = self._queue.popleft()
             if self._is_candidate(step):
                 return step
+        while self._classes:
+            candidate = self._classes[0].pop(self.shares)
+            if candidate is None:
+                self._classes.popleft()
+                if self._classes:
+                    self._classes[0].sort(self.shares)
+            elif self._is_candidate(candidate):
+                return candidate
         return None
 
     def _is_candidate(self, step: Step) -> bool:
@@ -66,6 +148,9 @@
         """Return the remaining candidates to the pool, to be sorted again with newer ones."""
         self._included.update(dict.fromkeys(self._queue))
         self._queue.clear()
+        for queues in self._classes:
+            self._included.update(dict.fromkeys(queues))
+        self._classes.clear()
 
 
 def _may_fit(step: Step, host: Host) -> bool:
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 
 from rhubarbferry.core.ejection import EjectionRules, Ejector
 from rhubarbferry.dispatch import reservations
+from rhubarbferry.dispatch.account_shares import AccountShares
 from rhubarbferry.dispatch.approval_request_size import ApprovedShare
 from rhubarbferry.dispatch.approval_requests import (
     APPROVAL_RETRY_INTERVAL_S,
@@ -107,7 +108,8 @@
     quotas: Quotas = Factory(Quotas)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
-    holds: Holds = Factory(Holds)
+    shares: AccountShares = field(init=False)
+    holds: Holds = field(init=False)
     pacing: Pacing = Factory(Pacing)
     _candidates: Candidates = field(init=False)
     _steps_with_reservations: dict[Step, None] = Factory(dict)
@@ -122,7 +124,9 @@
 
     def __attrs_post_init__(self) -> None:
         self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s, quotas=self.quotas)
-        self._candidates = Candidates(waiting=self.waiting)
+        self.shares = AccountShares(quotas=self.quotas)
+        self.holds = Holds(shares=self.shares)
+        self._candidates = Candidates(waiting=self.waiting, shares=self.shares)
 
     # ------------------------------------------------------------ jobs
 
@@ -306,6 +310,7 @@
         if now - self._hosts_reviewed_at < HOST_REVIEW_INTERVAL_S:
             return
         self._hosts_reviewed_at = now
+        self.shares.set_capacity(self.tracker.hosts.values())
         self._apply_events(self.tracker.expire_leases(now, keep=self.takeover.unconfirmed), now)
         self.tracker.mark_reopened_hosts(now)
 
@@ -324,6 +329,7 @@
 
     def _place_candidates(self, now: float, starts: float) -> list[Order]:
         """Place the next candidate steps, up to the limit of one decision."""
+        self._candidates.update_standings()
         if not self._candidates:
             self._candidates.collect(self.tracker.take_changed())
         if not self._candidates:
@@ -383,6 +389,8 @@
             self.waiting.discard(step)
         elif len(placed) == limit:
             self._block(step)
+        elif allowed:
+            self.shares.record_without_room(step)
         return orders
 
     def _quota_limit(self, step: Step) -> int:
@@ -455,8 +463,7 @@
             return placed
         # There is too little room that is not held. Also use the room held for steps that this step
         # precedes in the queue.
-        position = self.waiting.position(step)
-        held_room = self.holds.room_held_before(position, self.waiting.positions)
+        held_room = self.holds.room_held_before(step, self.waiting.positions)
         return place(step, allowed, now, limit=limit, held_room=held_room)
 
     def _preempt(self, step: Step, hosts: list[Host], limit: int, now: float) -> None:
--- a/rhubarbferry/dispatch/preemption.py
+++ b/rhubarbferry/dispatch/preemption.py
@@ -7,6 +7,7 @@
 
 from attrs import Factory, define, frozen
 
+from rhubarbferry.dispatch.account_shares import AccountShares
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Run, RunPhase, Step
 from rhubarbferry.dispatch.messages import Sizes
@@ -70,8 +71,13 @@
 
 @define(kw_only=True, eq=False)
 class Holds:
-    """All current holds."""
+    """All current holds.
 
+    :param shares: standings of the accounts, which decide which steps come first and which runs
+        give way.
+    """
+
+    shares: AccountShares = Factory(AccountShares)
     _holds: dict[Step, Hold] = Factory(dict)
     _retry_at: dict[Step, float] = Factory(dict)
 
@@ -105,12 +111,13 @@
         """Return the room held on each host for other steps."""
         return _sum_held_room(hold for step, hold in self._holds.items() if step is not excluding)
 
-    def room_held_before(
-        self, position: Position, positions: Mapping[Step, Position]
-    ) -> dict[str, Sizes]:
-        """Return the room held on each host for steps that precede ``position``."""
+    def room_held_before(self, step: Step, positions: Mapping[Step, Position]) -> dict[str, Sizes]:
+        """Return the room held on each host for steps that precede a waiting step."""
+        rank = self.shares.rank(step, positions[step])
         return _sum_held_room(
-            hold for step, hold in self._holds.items() if positions.get(step, position) < position
+            hold
+            for other, hold in self._holds.items()
+            if other in positions and self.shares.rank(other, positions[other]) < rank
         )
 
     def hold_room(
@@ -121,7 +128,7 @@
         A gang needs room for all its tasks at once. In a cell where small tasks take all room that
         becomes free, it would wait past its objective, and so would urgent tasks in a full cell.
         Preemption costs tasks of lower priority about a second if they can resume from a
-        checkpoint.
+        checkpoint. Those of accounts above their share give way first.
 
         :param hosts: hosts that may run the step now.
         :param limit: most tasks to hold room for.
@@ -137,7 +144,9 @@
             else MIN_REMAINING_TO_PREEMPT_S
         )
         options = [
-            _host_option(step, host, max_wait_s, now) for host in hosts if host.id not in held
+            _host_option(step, host, max_wait_s, self.shares, now)
+            for host in hosts
+            if host.id not in held
         ]
         options = sorted(
             (option for option in options if option.slots > 0), key=lambda option: option.cost
@@ -168,7 +177,9 @@
     return held_room
 
 
-def _host_option(step: Step, host: Host, max_wait_s: float, now: float) -> _HostOption:
+def _host_option(
+    step: Step, host: Host, max_wait_s: float, shares: AccountShares, now: float
+) -> _HostOption:
     if not is_eligible(step, host):
         return _HostOption(host=host, slots=0, ending=(), victims=())
     ending: list[tuple[float, Run]] = []
@@ -176,7 +187,7 @@
     room = host.room
     for run in host.runs.values():
         remaining_s = run.remaining_s(now)
-        if remaining_s > MIN_REMAINING_TO_PREEMPT_S and _can_preempt(run, step):
+        if remaining_s > MIN_REMAINING_TO_PREEMPT_S and _can_preempt(run, step, shares):
             victims.append(run)
         elif remaining_s <= max_wait_s:
             ending.append((remaining_s, run))
@@ -184,7 +195,13 @@
             continue
         room = room.plus(run.task.step.req.room)
     ending.sort(key=lambda pair: pair[0])
-    victims.sort(key=lambda run: (-run.task.step.job.queue.priority, run.percent))
+    victims.sort(
+        key=lambda run: (
+            not shares.is_above(run.task.step),
+            -run.task.step.job.queue.priority,
+            run.percent,
+        )
+    )
     return _HostOption(
         host=host,
         slots=free_slots(step, host, room),
@@ -193,11 +210,11 @@
     )
 
 
-def _can_preempt(run: Run, step: Step) -> bool:
+def _can_preempt(run: Run, step: Step, shares: AccountShares) -> bool:
     other = run.task.step
     if other.job.queue.priority <= step.job.queue.priority:
         return False
-    if run.phase is not RunPhase.RUNNING:
+    if run.phase is not RunPhase.RUNNING or not shares.may_give_way(run, step):
         return False
     req = other.req
     return req.checkpointable and not (req.gang or req.lasting or req.may_miss is not None)
--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -48,8 +48,11 @@
     A run counts from its reservation until it has certainly ended, so runs that are being stopped
     and starts without an answer count as well. Under a new owner, the tasks of an inherited job
     count as running until all hosts that may run them have reported.
+
+    :ivar version: changes whenever the settings of an account do.
     """
 
+    version: int = 0
     _accounts: dict[str, Account] = Factory(dict)
     _used: dict[str, Sizes] = Factory(dict)
     _runs_of_jobs: Counter[str] = Factory(Counter)
@@ -65,12 +68,15 @@
         for name, account in accounts.items():
             if self._accounts.get(name) != account:
                 self._accounts[name] = account
+                self.version += 1
                 self._changed.add(name)
                 self._changed_quotas.add(name)
 
     def add_account(self, account: Account) -> None:
         """Add an account from the record of a job, unless a configuration has set it."""
-        self._accounts.setdefault(account.name, account)
+        if account.name not in self._accounts:
+            self._accounts[account.name] = account
+            self.version += 1
 
     @property
     def accounts(self) -> Mapping[str, Account]:
@@ -83,8 +89,6 @@
         """Count a run."""
         self._runs_of_jobs[run.task.id.job] += 1
         name = run.task.step.job.account_name
-        if not name:
-            return
         size = run.task.step.req.sizes
         self._used[name] = self._used.get(name, NOTHING).plus(size)
         assumed = self._assumed.get(run.task.id.job)
@@ -99,8 +103,8 @@
         if not self._runs_of_jobs[id]:
             del self._runs_of_jobs[id]
         name = run.task.step.job.account_name
+        self._used[name] = self._used[name].minus(run.task.step.req.sizes)
         if name:
-            self._used[name] = self._used[name].minus(run.task.step.req.sizes)
             self._changed.add(name)
 
     def may_have_runs(self, job: str) -> bool:
@@ -140,6 +144,13 @@
         assumed = self._assumed_totals.get(account)
         return used if assumed is None else used.plus(assumed)
 
+    def running(self, account: str) -> Sizes:
+        """Return what the known runs of an account use; a new value whenever it has changed.
+
+        :param account: name of the account; empty for the jobs without an account.
+        """
+        return self._used.get(account, NOTHING)
+
     def check_usage(self, runs: Iterable[Run]) -> dict[str, Sizes]:
         """Return the counted usage of each account for which it differs from the given runs.
 
@@ -148,9 +159,8 @@
         expected: dict[str, Sizes] = {}
         for run in runs:
             name = run.task.step.job.account_name
-            if name:
-                size = run.task.step.req.sizes
-                expected[name] = expected.get(name, NOTHING).plus(size)
+            size = run.task.step.req.sizes
+            expected[name] = expected.get(name, NOTHING).plus(size)
         return {
             name: used for name, used in self._used.items() if used != expected.get(name, NOTHING)
         }
