--- a/rhubarbferry/dispatch/account_shares.py
+++ b/rhubarbferry/dispatch/account_shares.py
@@ -24,6 +24,8 @@
 # Bounds the standing of an account whose weight is tiny beside those of the others.
 MIN_OWED_SHARE = 1e-9
 
+# Part of a step that counts as in use when its account is compared with others.
+STARTING_FRACTION = 0.5
 # A position with the standing of the account after the urgency and the priority.
 Rank = tuple[int, float, float, float, str, int, int]
 
@@ -151,16 +153,35 @@
         # cached value holds.
         if known is not None and known[0] is used:
             return known[1]
+        standing = self._dominant_share(used) / self._owed_share(account)
+        self._standings[account] = (used, standing)
+        return standing
+
+    def _owed_share(self, account: str) -> float:
         owed = self._owed.get(account)
         if owed is None:
             owed = min(self._owed.values())
-        standing = self._dominant_share(used) / max(owed, MIN_OWED_SHARE)
-        self._standings[account] = (used, standing)
-        return standing
+        return max(owed, MIN_OWED_SHARE)
+
+    def standing_for(self, step: Step) -> float:
+        """Return the standing of a waiting step's account with half of its waiting tasks added.
+
+        By its standing before the start alone, an account would exceed its share by half a step on
+        average, and one with a small share and wide steps would exceed it by much. By its standing
+        after the start, it would stay below by as much.
+        """
+        account = step.job.account_name
+        standing = self.standing(account)
+        if not self.enabled:
+            return standing
+        waiting = len(step.waiting_tasks())
+        return standing + STARTING_FRACTION * self._dominant_share(
+            step.req.sizes.times(waiting)
+        ) / self._owed_share(account)
 
     def rank(self, step: Step, position: Position) -> Rank:
         """Return the sort key by which a waiting step comes before steps of other accounts."""
-        return (*position[:2], self.standing(step.job.account_name), *position[2:])
+        return (*position[:2], self.standing_for(step), *position[2:])
 
     def is_above(self, step: Step) -> bool:
         """Return whether the account of a step has more in use than it is owed."""
--- a/rhubarbferry/dispatch/candidates.py
+++ b/rhubarbferry/dispatch/candidates.py
@@ -33,7 +33,7 @@
     def sort(self, shares: AccountShares) -> None:
         """Sort the accounts by their present standings."""
         self._heap = [
-            (shares.standing(account), steps[0][0], account)
+            (shares.standing_for(steps[0][1]), steps[0][0], account)
             for account, steps in self._queues.items()
             if steps
         ]
@@ -43,15 +43,16 @@
         """Return the first step of the account with the lowest standing."""
         while self._heap:
             standing, first, account = self._heap[0]
-            current = shares.standing(account)
+            steps = self._queues[account]
+            current = shares.standing_for(steps[0][1])
             if current > standing:
                 # Steps of the account have been placed since.
                 heapq.heapreplace(self._heap, (current, first, account))
                 continue
-            steps = self._queues[account]
             _, step = steps.popleft()
             if steps:
-                heapq.heapreplace(self._heap, (current, steps[0][0], account))
+                standing = shares.standing_for(steps[0][1])
+                heapq.heapreplace(self._heap, (standing, steps[0][0], account))
             else:
                 heapq.heappop(self._heap)
             return step
