--- a/rhubarbferry/bench/day_work.py
+++ b/rhubarbferry/bench/day_work.py
@@ -13,7 +13,14 @@
 
 from attrs import evolve, frozen
 
-from rhubarbferry.dispatch.messages import ApprovalCost, JobRequest, Queue, Sizes, StepRequest
+from rhubarbferry.dispatch.messages import (
+    Account,
+    ApprovalCost,
+    JobRequest,
+    Queue,
+    Sizes,
+    StepRequest,
+)
 
 
 @frozen(kw_only=True, slots=True)
@@ -84,6 +91,16 @@
     queue: str = ""
 
 
+@frozen(kw_only=True, slots=True)
+class HotAccount:
+    """Let an account send ``factor`` times its usual jobs for ``duration_s`` seconds."""
+
+    at_s: float
+    duration_s: float
+    factor: float
+    account: str
+
+
 @frozen(kw_only=True, slots=True)
 class HostsLost:
     """Fail a fraction of the hosts at once and restart them empty after ``duration_s`` seconds."""
@@ -133,6 +150,9 @@
     :param seconds: period in seconds during which jobs arrive.
     :param speeds: relative speeds, assigned to the hosts in round-robin order.
     :param members: number of processes that send requests to the policy service.
+    :param accounts: client accounts, each of which usually sends jobs in proportion to its weight;
+        empty if jobs belong to none.
+    :param hot: accounts that send more than usual for a time.
     """
 
     seconds: float
@@ -147,6 +167,8 @@
     pauses: tuple[Pause, ...] = ()
     slow: tuple[HostsSlow, ...] = ()
     starts_lost: tuple[StartsLost, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    hot: tuple[HotAccount, ...] = ()
 
 
 @frozen(kw_only=True, slots=True)
@@ -160,6 +182,7 @@
     kind: JobKind
     req: JobRequest
     run_s: tuple[float, ...]
+    account: Account | None = None
 
     @property
     def objective_s(self) -> float:
@@ -176,23 +199,44 @@
 
 
 def arrivals(day: Day, rng: random.Random) -> Iterator[Arrival]:
-    """Yield the jobs of a day; they are ordered by time only within each kind."""
+    """Yield the jobs of a day; they are ordered by time only within each kind and account.
+
+    What a hot account sends beyond its usual does not change what the others send.
+    """
     for kind in day.job_kinds:
-        now = 0.0
-        while True:
-            rate = kind.jobs_per_s * math.prod(
-                burst.factor
-                for burst in day.bursts
-                if burst.queue in ("", kind.queue.name)
-                and burst.at_s <= now < burst.at_s + burst.duration_s
-            )
-            now += rng.expovariate(rate)
-            if now >= day.seconds:
-                break
-            yield _arrival(kind, now, rng)
+        for at_s in _arrival_times(day, kind.jobs_per_s, kind.queue.name, rng):
+            account = _choose_account(day, rng) if day.accounts else None
+            yield _arrival(kind, at_s, rng, account)
+    total = sum(account.weight for account in day.accounts)
+    for hot in day.hot:
+        (account,) = (account for account in day.accounts if account.name == hot.account)
+        for kind in day.job_kinds:
+            rate = kind.jobs_per_s * account.weight / total * (hot.factor - 1)
+            for at_s in _arrival_times(day, rate, kind.queue.name, rng):
+                if hot.at_s <= at_s < hot.at_s + hot.duration_s:
+                    yield _arrival(kind, at_s, rng, account)
+
+
+def _choose_account(day: Day, rng: random.Random) -> Account:
+    weights = [account.weight for account in day.accounts]
+    return rng.choices(day.accounts, weights)[0]
+
+
+def _arrival_times(day: Day, rate: float, queue: str, rng: random.Random) -> Iterator[float]:
+    now = 0.0
+    while True:
+        factor = math.prod(
+            burst.factor
+            for burst in day.bursts
+            if burst.queue in ("", queue) and burst.at_s <= now < burst.at_s + burst.duration_s
+        )
+        now += rng.expovariate(rate * factor)
+        if now >= day.seconds:
+            return
+        yield now
 
 
-def _arrival(kind: JobKind, now: float, rng: random.Random) -> Arrival:
+def _arrival(kind: JobKind, now: float, rng: random.Random, account: Account | None) -> Arrival:
     gang = rng.random() < kind.gang_fraction
     saves = rng.random() < kind.checkpointable_fraction
     steps = []
@@ -219,7 +263,7 @@
         payload="",
         steps=tuple(steps),
     )
-    return Arrival(at_s=now, kind=kind, req=req, run_s=tuple(durations))
+    return Arrival(at_s=now, kind=kind, req=req, run_s=tuple(durations), account=account)
 
 
 _ADVICE_VALID_S = 1.5
@@ -304,6 +348,12 @@
     host_memory_mb=131_072,
     job_kinds=(WIDE, BATCH, SHORT),
 )
+# A few accounts are large.
+_ACCOUNTS = (
+    Account(name="large", weight=8.0),
+    Account(name="middle", weight=4.0),
+    *(Account(name=f"small {index}", weight=1.0) for index in range(8)),
+)
 DAYS: dict[str, Day] = {
     "calm": FAULT_FREE_DAY,
     "bursts": evolve(
@@ -338,4 +388,18 @@
         ),
     ),
     "overload": evolve(FAULT_FREE_DAY, bursts=(Burst(at_s=0, duration_s=60, factor=1.6),)),
+    "hot account": evolve(
+        FAULT_FREE_DAY,
+        accounts=_ACCOUNTS,
+        bursts=(Burst(at_s=0, duration_s=60, factor=1.15),),
+        hot=(HotAccount(at_s=8, duration_s=12, factor=6.0, account="middle"),),
+    ),
+    "hot large account": evolve(
+        FAULT_FREE_DAY,
+        accounts=_ACCOUNTS,
+        hot=(HotAccount(at_s=8, duration_s=12, factor=6.0, account="large"),),
+    ),
+    "accounts overloaded": evolve(
+        FAULT_FREE_DAY, accounts=_ACCOUNTS, bursts=(Burst(at_s=0, duration_s=60, factor=1.6),)
+    ),
 }
--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -24,6 +24,7 @@
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.job import Job, JobPhase
 from rhubarbferry.dispatch.messages import (
+    Account,
     Approval,
     ApprovalRequest,
     ApprovalResponse,
@@ -109,10 +110,14 @@
 
 @define(kw_only=True, eq=False)
 class DaySimulation:
-    """Discrete-event simulation of one day."""
+    """Discrete-event simulation of one day.
+
+    :param account: account of the jobs of a day without accounts.
+    """
 
     day: Day
     seed: str
+    account: Account | None = None
     now: float = 0.0
     done_at: dict[str, float] = Factory(dict)
     useful_core_s: float = 0.0
@@ -144,6 +149,8 @@
             Member(name=str(index), address="", region="region", failure_domain="")
             for index in range(self.day.members)
         ]
+        accounts = self.day.accounts or ((self.account,) if self.account is not None else ())
+        self._dispatcher.configure({}, {account.name: account for account in accounts}, now=0.0)
         for index in range(self.day.hosts):
             self._add_host(index)
         for arrival in arrivals(self.day, self._rng("arrivals")):
@@ -342,6 +349,7 @@
             queue=arrival.kind.queue,
             arrived_at=self.now,
             record_revision=1,
+            account=arrival.account or self.account,
         )
         self._dispatcher.add_job(job, now=self.now, wall_s=self.now)
 
@@ -472,6 +480,24 @@
             "useful_core_s": round(self.useful_core_s),
             "wasted_core_s": round(self.wasted_core_s),
             "kinds": kinds,
+            **self._account_statistics(),
+        }
+
+    def _account_statistics(self) -> dict[str, Any]:
+        """Return the fraction of the jobs of each account that ended within their objective."""
+        counts: dict[str, list[int]] = {}
+        for arrival in self._arrivals.values():
+            if arrival.account is not None:
+                count = counts.setdefault(arrival.account.name, [0, 0])
+                count[0] += self._outcome(arrival) == "in_time"
+                count[1] += 1
+        if not counts:
+            return {}
+        hot = {hot.account for hot in self.day.hot}
+        others = [count for name, count in counts.items() if name not in hot]
+        return {
+            "accounts": {name: round(found / sent, 4) for name, (found, sent) in counts.items()},
+            "other_accounts": round(sum(c[0] for c in others) / sum(c[1] for c in others), 4),
         }
 
     def _mean_work(self) -> dict[str, float]:
--- a/rhubarbferry/cell/account_usage.py
+++ b/rhubarbferry/cell/account_usage.py
@@ -1,4 +1,4 @@
-"""Metrics and log lines about the quotas of client accounts, as the owner keeps them."""
+"""Metrics and log lines about the quotas and shares of client accounts, as the owner keeps them."""
 
 from __future__ import annotations
 
@@ -24,7 +24,25 @@
     "rhubarbferry_account_usage_mismatches_total",
     "Checks in which the counted usage of an account differed from its runs",
 )
-METRICS = (ACCOUNT_USED, ACCOUNT_QUOTA, ACCOUNT_BLOCKED_STEPS)
+ACCOUNT_SHARE_IN_USE = Gauge(
+    "rhubarbferry_account_share_in_use",
+    "The largest fraction of all hosts' capacity in any resource that an account uses",
+    ["account"],
+)
+ACCOUNT_SHARE_OWED = Gauge(
+    "rhubarbferry_account_share_owed",
+    "The fraction of all hosts' capacity that an account is owed while the hosts are full",
+    ["account"],
+)
+METRICS = (
+    ACCOUNT_USED,
+    ACCOUNT_QUOTA,
+    ACCOUNT_BLOCKED_STEPS,
+    ACCOUNT_SHARE_IN_USE,
+    ACCOUNT_SHARE_OWED,
+)
+# Minimum time between two lines that say that an account is held back for its share.
+HELD_BACK_LOG_INTERVAL_S = 5.0
 
 
 @define(kw_only=True, eq=False)
@@ -34,6 +52,8 @@
     log: EventLog
     dispatcher: Dispatcher
     _reported: set[str] = field(factory=set)
+    _invalid_weights: frozenset[str] = frozenset()
+    _held_back_logged_at: dict[str, float] = field(factory=dict)
 
     def log_blocked_steps(self) -> None:
         """Log the steps that have been blocked for the first time since the last call."""
@@ -58,8 +78,10 @@
                 outcome="larger than the quota" if oversized else "its account is at its quota",
             )
 
-    def update(self) -> None:
+    def update(self, now: float) -> None:
         """Update the metrics, and check the counted usage against the runs of all hosts."""
+        self._log_invalid_weights()
+        self._log_held_back(now)
         quotas = self.dispatcher.quotas
         blocked = self.dispatcher.waiting.blocked_counts()
         for name, account in quotas.accounts.items():
@@ -76,6 +98,37 @@
                 outcome="kept",
             )
 
+    def _log_invalid_weights(self) -> None:
+        invalid = self.dispatcher.shares.invalid
+        if invalid is self._invalid_weights:
+            return
+        for name in sorted(invalid - self._invalid_weights):
+            weight = self.dispatcher.quotas.accounts[name].weight
+            self.log.emit(
+                "account.invalid_weight",
+                account=name,
+                weight=str(weight),
+                outcome="counts as the smallest weight",
+            )
+        self._invalid_weights = invalid
+
+    def _log_held_back(self, now: float) -> None:
+        """Log the accounts above their share whose steps have found no room lately."""
+        shares = self.dispatcher.shares
+        for name, tries in shares.take_held_back().items():
+            last = self._held_back_logged_at.get(name, float("-inf"))
+            if now - last < HELD_BACK_LOG_INTERVAL_S:
+                continue
+            self._held_back_logged_at[name] = now
+            self.log.emit(
+                "account.held_back",
+                account=name,
+                share_in_use=round(shares.in_use(name), 4),
+                share_owed=round(shares.owed.get(name, 0.0), 4),
+                tries=tries,
+                outcome="above its share, and its steps found no room",
+            )
+
     def _set_gauges(self, account: Account, used: Sizes, blocked: int) -> None:
         self._reported.add(account.name)
         for gauge, sizes in ((ACCOUNT_USED, used), (ACCOUNT_QUOTA, account.quota)):
@@ -83,6 +136,10 @@
             gauge.labels(account.name, "memory_mb").set(sizes.memory_mb)
             gauge.labels(account.name, "accelerators").set(sizes.accelerators)
         ACCOUNT_BLOCKED_STEPS.labels(account.name).set(blocked)
+        shares = self.dispatcher.shares
+        if shares.enabled:
+            ACCOUNT_SHARE_IN_USE.labels(account.name).set(shares.in_use(account.name))
+            ACCOUNT_SHARE_OWED.labels(account.name).set(shares.owed[account.name])
 
     def clear(self) -> None:
         """Remove the metrics; another process is the owner."""
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -369,7 +369,7 @@
         if now - self._rechecked_at >= STEP_RECHECK_INTERVAL_S:
             self._rechecked_at = now
             dispatcher.reconsider_all()
-            self._account_usage.update()
+            self._account_usage.update(now)
         unconfirmed = list(dispatcher.takeover.unconfirmed)
         orders = dispatcher.decide(
             now=now, wall_s=self.process.clock.wall(), starts=self._executor.start_capacity()
