--- a/rhubarbferry/dispatch/approval_requests.py
+++ b/rhubarbferry/dispatch/approval_requests.py
@@ -32,26 +32,22 @@
     :param priority: priority of its queue.
     :param unreserved: whether no room is reserved for it. Reserved room is idle until the tickets
         arrive, so it comes first.
-    :param work: processor in millicores that its tasks without a run would use, negated.
     :param arrived_at: when its job was accepted.
     """
 
     urgency: Urgency
     priority: int
     unreserved: bool = True
-    work: int = 0
     arrived_at: float = 0.0
 
 
 def rank_request(step: Step, now: float) -> RequestRank:
     """Return the rank of a step's approval request."""
     job = step.job
-    stalled = len(step.waiting_tasks()) + len(reserved := reservations.reserved(step))
     return RequestRank(
         urgency=job.urgency(step, now).urgency,
         priority=job.queue.priority,
-        unreserved=not reserved,
-        work=-stalled * step.req.room.millicores,
+        unreserved=not reservations.reserved(step),
         arrived_at=job.arrived_at,
     )
 
