Compare accounts with fewer computations; record what was weighed

The part of the standing that is due to the next step is computed once for each first step of an account.

--- a/rhubarbferry/dispatch/account_shares.py
+++ b/rhubarbferry/dispatch/account_shares.py
@@ -145,7 +145,9 @@
 
     def standing(self, account: str) -> float:
         """Return the share that an account has in use, relative to the share that it is owed."""
-        if not self.enabled:
+        if self._owed_version != self.quotas.version:
+            self._update_owed()
+        if not self._enabled:
             return 0.0
         used = self.quotas.running(account)
         known = self._standings.get(account)
@@ -163,25 +165,23 @@
             owed = min(self._owed.values())
         return max(owed, MIN_OWED_SHARE)
 
-    def standing_for(self, step: Step) -> float:
-        """Return the standing of a waiting step's account with half of its waiting tasks added.
+    def half_step(self, step: Step) -> float:
+        """Return by how much half of the waiting tasks of a step would raise a standing.
 
         By its standing before the start alone, an account would exceed its share by half a step on
         average, and one with a small share and wide steps would exceed it by much. By its standing
         after the start, it would stay below by as much.
         """
-        account = step.job.account_name
-        standing = self.standing(account)
         if not self.enabled:
-            return standing
-        waiting = len(step.waiting_tasks())
-        return standing + STARTING_FRACTION * self._dominant_share(
-            step.req.sizes.times(waiting)
-        ) / self._owed_share(account)
+            return 0.0
+        fraction = STARTING_FRACTION * len(step.waiting_tasks())
+        owed = self._owed_share(step.job.account_name)
+        return fraction * self._dominant_share(step.req.sizes) / owed
 
     def rank(self, step: Step, position: Position) -> Rank:
         """Return the sort key by which a waiting step comes before steps of other accounts."""
-        return (*position[:2], self.standing_for(step), *position[2:])
+        standing = self.standing(step.job.account_name) + self.half_step(step)
+        return (*position[:2], standing, *position[2:])
 
     def is_above(self, step: Step) -> bool:
         """Return whether the account of a step has more in use than it is owed."""
--- a/rhubarbferry/dispatch/candidates.py
+++ b/rhubarbferry/dispatch/candidates.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-import itertools
 from collections import deque
 from collections.abc import Iterator, Sequence
 
@@ -19,12 +18,12 @@
 class _AccountQueues:
     """Candidates of one urgency and priority: a queue for each account, and a heap of accounts.
 
-    An entry of the heap holds the standing of the account when it was pushed, and the position of
-    its first step.
+    An entry of the heap holds the standing by which the account is compared, the position of its
+    first step, its name, and the part of the standing that is due to that step.
     """
 
     _queues: dict[str, deque[tuple[Position, Step]]] = Factory(dict)
-    _heap: list[tuple[float, Position, str]] = Factory(list)
+    _heap: list[tuple[float, Position, str, float]] = Factory(list)
 
     def add(self, step: Step, position: Position) -> None:
         """Add a step; steps of one account must be added in the order of their positions."""
@@ -33,26 +32,23 @@
     def sort(self, shares: AccountShares) -> None:
         """Sort the accounts by their present standings."""
         self._heap = [
-            (shares.standing_for(steps[0][1]), steps[0][0], account)
-            for account, steps in self._queues.items()
-            if steps
+            _heap_entry(account, steps, shares) for account, steps in self._queues.items() if steps
         ]
         heapq.heapify(self._heap)
 
     def pop(self, shares: AccountShares) -> Step | None:
         """Return the first step of the account with the lowest standing."""
         while self._heap:
-            standing, first, account = self._heap[0]
-            steps = self._queues[account]
-            current = shares.standing_for(steps[0][1])
+            standing, first, account, half_step = self._heap[0]
+            current = shares.standing(account) + half_step
             if current > standing:
                 # Steps of the account have been placed since.
-                heapq.heapreplace(self._heap, (current, first, account))
+                heapq.heapreplace(self._heap, (current, first, account, half_step))
                 continue
+            steps = self._queues[account]
             _, step = steps.popleft()
             if steps:
-                standing = shares.standing_for(steps[0][1])
-                heapq.heapreplace(self._heap, (standing, steps[0][0], account))
+                heapq.heapreplace(self._heap, _heap_entry(account, steps, shares))
             else:
                 heapq.heappop(self._heap)
             return step
@@ -64,6 +60,14 @@
                 yield step
 
 
+def _heap_entry(
+    account: str, steps: deque[tuple[Position, Step]], shares: AccountShares
+) -> tuple[float, Position, str, float]:
+    position, step = steps[0]
+    half_step = shares.half_step(step)
+    return (shares.standing(account) + half_step, position, account, half_step)
+
+
 @define(kw_only=True, eq=False)
 class Candidates:
     """Waiting steps that have changed, or that may fit on a host that has changed.
@@ -111,16 +115,15 @@
         if not self.shares.enabled:
             self._queue.extend(ordered)
             return
-        for _, steps in itertools.groupby(ordered, key=self._urgency_and_priority):
-            queues = _AccountQueues()
-            for step in steps:
-                queues.add(step, self.waiting.position(step))
-            self._classes.append(queues)
+        current: tuple[int, float] | None = None
+        for step in ordered:
+            position = self.waiting.position(step)
+            if position[:2] != current:
+                current = position[:2]
+                self._classes.append(_AccountQueues())
+            self._classes[-1].add(step, position)
         self.update_standings()
 
-    def _urgency_and_priority(self, step: Step) -> tuple[int, float]:
-        return self.waiting.position(step)[:2]
-
     def update_standings(self) -> None:
         """Sort the accounts again, since runs may have ended; call before each decision."""
         if self._classes:
