Send the load of a full cell to the processes that accept jobs

The owner adds up the load every 0.5 s, in slices, and sends it in the replies to notices of accepted jobs and to questions about jobs, as an optional field and only to a process that asks for it and has an older one. A process whose summary belongs to the current owner and configuration and is at most 2 s old refuses, with 429, what decide_admission refuses, after the owner has answered that it does not know the job and the store has not said otherwise within 0.1 s. In all other cases it accepts as before. The section [admission] of an INI file named on the command line switches it on; it is off by default, and then no field is sent and nothing is added up.

--- a/rhubarbferry/cell/owner_calls.py
+++ b/rhubarbferry/cell/owner_calls.py
@@ -6,7 +6,23 @@
 
 from attrs import frozen
 
+from rhubarbferry.dispatch.admission import LoadSummary
 from rhubarbferry.dispatch.job import JobStatus
+from rhubarbferry.rpc.gen.ttypes import KnownLoad
+from rhubarbferry.rpc.gen.ttypes import LoadSummary as WireLoadSummary
+
+
+class OwnerLoad(Protocol):
+    """Summaries of the load that a term of ownership makes."""
+
+    @property
+    def latest(self) -> LoadSummary | None:
+        """The latest one, ``None`` while there is none."""
+        ...
+
+    def newer_than(self, known: KnownLoad) -> WireLoadSummary | None:
+        """Return the latest one, encoded, if it is not the one that the caller has."""
+        ...
 
 
 @frozen(kw_only=True, slots=True)
@@ -32,6 +48,15 @@
         """Whether all jobs in progress at the takeover have been read."""
         ...
 
+    def holds(self) -> bool:
+        """Return whether the ownership is in force now."""
+        ...
+
+    @property
+    def load(self) -> OwnerLoad:
+        """Summaries of the load of the cell."""
+        ...
+
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         ...
--- a/rhubarbferry/cell/owner_client.py
+++ b/rhubarbferry/cell/owner_client.py
@@ -11,6 +11,7 @@
 from rhubarbferry.cell.members import CellView, Member
 from rhubarbferry.cell.owner_calls import AcceptedJob, OwnerCalls
 from rhubarbferry.cell.peers import NoReply, PeerClient
+from rhubarbferry.dispatch.admission import LoadSummary
 from rhubarbferry.dispatch.job import JobStatus
 from rhubarbferry.ports.clock import Clock
 
@@ -67,6 +68,23 @@
         taken = await self.peers.job_accepted(owner, job)
         OWNER_REQUESTS.labels("notified" if taken else "not notified").inc()
 
+    def own_load(self) -> LoadSummary | None:
+        """Return the summary of the load if this process is the owner and has one."""
+        term = self.term()
+        return term.load.latest if term is not None else None
+
+    async def knows(self, id: str) -> bool | None:
+        """Return whether the owner knows a job, ``None`` if it can't tell."""
+        term = self.term()
+        if term is not None:
+            if not term.loaded or not term.holds():
+                return None
+            return term.status(id) is not None
+        ownership = self.view.ownership
+        if ownership is None or ownership.owner.name == self.own.name:
+            return None
+        return await self.peers.job_known(ownership.owner, id, timeout_s=OWNER_TIMEOUT_S)
+
     async def status(self, id: str) -> JobStatus | None:
         """Return the status of a job from the owner, or ``None`` if the owner can't report it."""
         term = self.term()
--- a/rhubarbferry/cell/peer_server.py
+++ b/rhubarbferry/cell/peer_server.py
@@ -20,6 +20,8 @@
     HostApproval,
     JobNotice,
     JobNoticeReply,
+    KnownLoad,
+    LoadSummary,
     OwnedPhaseReply,
     OwnedPhaseRequest,
     PendingReply,
@@ -111,14 +113,18 @@
         if term is None:
             return JobNoticeReply(taken=False)
         job = AcceptedJob(id=req.job, record=req.record, revision=req.revision, fence=req.fence)
-        return JobNoticeReply(taken=term.add_accepted(job))
+        return JobNoticeReply(taken=term.add_accepted(job), load=_load(term, req.known_load))
 
     async def _owned_phase(self, req: OwnedPhaseRequest) -> OwnedPhaseReply:
         term = self._current_term()
-        status = term.status(req.job) if term is not None else None
-        if status is None:
+        if term is None:
             return OwnedPhaseReply()
-        return OwnedPhaseReply(phase=status.phase.value, account=status.account)
+        status = term.status(req.job)
+        load = _load(term, req.known_load)
+        if status is None:
+            loaded = req.known_load is not None and term.loaded and term.holds()
+            return OwnedPhaseReply(load=load, loaded=loaded or None)
+        return OwnedPhaseReply(phase=status.phase.value, account=status.account, load=load)
 
     async def _submit(self, req: RelayedSubmit) -> RelayedSubmitReply:
         deadline = self._clock.monotonic() + req.timeout_ms / 1000
@@ -165,3 +171,8 @@
             approvals=[HostApproval(host=a.host, ticket=a.ticket) for a in answer.approvals],
             valid_ms=int(answer.valid_s * 1000),
         )
+
+
+def _load(term: OwnerCalls, known: KnownLoad | None) -> LoadSummary | None:
+    """Return the summary of the load for a process that uses summaries and lacks this one."""
+    return term.load.newer_than(known) if known is not None else None
--- a/rhubarbferry/cell/peers.py
+++ b/rhubarbferry/cell/peers.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, PhaseUnknown
+from rhubarbferry.cell.load_summary import LoadView
 from rhubarbferry.cell.members import Member
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.dispatch.job import JobPhase, JobStatus
@@ -86,10 +87,14 @@
     """Client for calls to other processes of the cell.
 
     :param extra_s: returns the seconds to add to each time limit because of this process's lag.
+    :param load: keeps the summaries of the load that the owner's replies contain.
     """
 
-    def __init__(self, *, extra_s: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self, *, extra_s: Callable[[], float] = lambda: 0.0, load: LoadView | None = None
+    ) -> None:
         self._extra_s = extra_s
+        self._load = load
         self._pool = Pool(service=PEER, timing=PEER_TIMING)
 
     async def _call(self, member: Member, method: str, req: Any, *, timeout_s: float) -> Any:
@@ -101,6 +106,16 @@
             region=member.region,
         )
 
+    async def _call_owner(self, member: Member, method: str, req: Any, *, timeout_s: float) -> Any:
+        """Make a call whose reply may contain a summary of the load."""
+        if self._load is None:
+            return await self._call(member, method, req, timeout_s=timeout_s)
+        req.known_load = self._load.known()
+        sent_at = self._load.clock.monotonic()
+        reply = await self._call(member, method, req, timeout_s=timeout_s)
+        self._load.receive(reply.load, sent_at=sent_at)
+        return reply
+
     async def pending(self, member: Member, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         try:
@@ -115,7 +130,7 @@
         """Notify the owner of an accepted job; return whether it has taken the job."""
         req = JobNotice(job=job.id, record=job.record, revision=job.revision, fence=job.fence)
         try:
-            reply = await self._call(member, "job_accepted", req, timeout_s=NOTICE_TIMEOUT_S)
+            reply = await self._call_owner(member, "job_accepted", req, timeout_s=NOTICE_TIMEOUT_S)
         except RpcError:
             return False
         return reply.taken
@@ -125,13 +140,25 @@
     ) -> JobStatus | NoReply | None:
         """Return the status of a job according to the owner, ``None`` when the owner has none."""
         try:
-            reply = await self._call(
+            reply = await self._call_owner(
                 member, "owned_phase", OwnedPhaseRequest(job=id), timeout_s=timeout_s
             )
         except RpcError as exc:
             return NoReply(reason=str(exc))
         return _status(reply)
 
+    async def job_known(self, member: Member, id: str, *, timeout_s: float) -> bool | None:
+        """Return whether the owner knows a job, ``None`` if it can't tell."""
+        try:
+            reply = await self._call_owner(
+                member, "owned_phase", OwnedPhaseRequest(job=id), timeout_s=timeout_s
+            )
+        except RpcError:
+            return None
+        if reply.phase is not None:
+            return True
+        return False if reply.loaded else None
+
     async def ask_approval(
         self, member: Member, step: StepId, hosts: tuple[str, ...], *, timeout_s: float
     ) -> Approvals:
--- a/rhubarbferry/cell/settings.py
+++ b/rhubarbferry/cell/settings.py
@@ -21,6 +21,19 @@
     history_s: float = 20.0
 
 
+@frozen(kw_only=True, slots=True)
+class AdmissionSettings:
+    """Section ``[admission]``: new jobs while the cell is full.
+
+    :param refuse_when_full: whether a job is refused that can't end within three times its
+        objective, because of the work of its own account.
+    :param max_summary_age_s: seconds; with an older summary of the load no job is refused.
+    """
+
+    refuse_when_full: bool = False
+    max_summary_age_s: float = 2.0
+
+
 @frozen(kw_only=True, slots=True)
 class CellSettings:
     """Settings of one process.
@@ -38,3 +51,4 @@
     link_mbps: float = 0.0
     max_descriptors: int = 0
     bounds: Bounds = Factory(Bounds)
+    admission: AdmissionSettings = Factory(AdmissionSettings)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -16,6 +16,7 @@
 from rhubarbferry.cell.host_poller import HostPoller
 from rhubarbferry.cell.job_watch import JobWatcher
 from rhubarbferry.cell.lease import LEASE_TTL_S
+from rhubarbferry.cell.load_summarizer import LoadSummarizer
 from rhubarbferry.cell.members import Member, successors
 from rhubarbferry.cell.orders import OrderExecutor
 from rhubarbferry.cell.owner_calls import AcceptedJob
@@ -64,6 +65,7 @@
 class Term:
     """Schedules the jobs of the cell until the ownership is lost or given up.
 
+    :ivar load: sums up the load of the cell.
     :ivar overloaded: whether the jobs were handed over because loading them took too long.
     """
 
@@ -75,6 +77,7 @@
     _recorder: Recorder = field(init=False)
     _log: DecisionLog = field(init=False)
     _account_usage: AccountUsageReport = field(init=False)
+    load: LoadSummarizer = field(init=False)
     _executor: OrderExecutor = field(init=False)
     _tasks: asyncio.TaskGroup = field(init=False)
     _polled_hosts: set[str] = field(factory=set)
@@ -104,6 +107,7 @@
         self._account_usage = AccountUsageReport(
             log=self.process.log, dispatcher=self.ctx.dispatcher
         )
+        self.load = LoadSummarizer(ctx=self.ctx)
         self._executor = OrderExecutor(ctx=self.ctx, log=self._log, spawn=self._spawn)
 
     @property
@@ -111,6 +115,10 @@
         """Whether all jobs in progress at the takeover have been read."""
         return self._job_watcher.loaded
 
+    def holds(self) -> bool:
+        """Return whether the ownership is in force now."""
+        return self.tenure.holds()
+
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         if not self.tenure.holds() or not self.loaded:
@@ -148,12 +156,14 @@
                 cleaner = Cleaner(ctx=self.ctx, without_state=self._job_watcher.without_state)
                 self._spawn(cleaner.run())
                 self._spawn(self._follow_host_list())
+                self._spawn(self.load.run())
                 self._spawn(self._hand_over_if_disconnected())
                 await self._run_decisions()
         except* OwnershipLost as lost:
             self.tenure.end(str(lost.exceptions[0]))
         finally:
             self._account_usage.clear()
+            self.load.clear_metrics()
 
     async def flush(self) -> None:
         """Write all changed job states to the store before the ownership is released."""
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -14,7 +14,7 @@
 from rhubarbferry.cell.peers import PeerClient
 from rhubarbferry.cell.prefix_watch import PrefixWatcher
 from rhubarbferry.cell.routes import RouteTable
-from rhubarbferry.cell.settings import CellSettings
+from rhubarbferry.cell.settings import AdmissionSettings, CellSettings
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import Expect, TxnStore
@@ -76,6 +76,7 @@
     :param policy: ``None`` when no policy service is configured.
     :param routes: returns the routes in force, ``None`` until a configuration has been read.
     :param lag_s: returns the recent lag of the event loop in seconds.
+    :param admission: returns the settings of admission in force.
     """
 
     cfg: CellSettings
@@ -91,6 +92,7 @@
     peers: PeerClient
     routes: Callable[[], RouteTable | None]
     lag_s: Callable[[], float]
+    admission: Callable[[], AdmissionSettings] = AdmissionSettings
 
     def watch_prefix(self, prefix: str) -> PrefixWatcher:
         """Return a watcher of the keys under a prefix."""
--- a/rhubarbferry/platform/__main__.py
+++ b/rhubarbferry/platform/__main__.py
@@ -1,7 +1,9 @@
-"""Run one process of a cell: ``python3 -m rhubarbferry.platform``."""
+"""Run one process of a cell: ``python3 -m rhubarbferry.platform [OWN-SETTINGS.ini]``."""
 
 import os
 import signal
+import sys
+from pathlib import Path
 
 # A process sends only plain HTTP requests within the platform, but the HTTP client library loads
 # the trusted certificates twice on import, which takes 0.06 s of CPU time each. That delays each
@@ -25,8 +27,9 @@
     from rhubarbferry.platform.settings import SettingsFileError
 
     log = configure_logging(member="starting")
+    own_settings = Path(sys.argv[1]) if len(sys.argv) > 1 else None
     try:
-        settings = read_settings()
+        settings = read_settings(own_settings)
     except SettingsFileError as exc:
         log.emit("process.not_started", reason=str(exc))
         return 2
@@ -40,7 +43,8 @@
         if signal.SIGTERM in _early_signals:
             signals.stop.set()
         log.emit("process.started", addresses=str(settings.addresses))
-        await Process(settings=settings, log=log, signals=signals).run()
+        process = Process(settings=settings, log=log, signals=signals, own_settings=own_settings)
+        await process.run()
 
     keep_imported_objects()
     try:
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -10,6 +10,7 @@
 from prometheus_client import Counter, Histogram
 
 from rhubarbferry.cell.accounts import logged_digest, may_access
+from rhubarbferry.cell.admission_control import AdmissionControl
 from rhubarbferry.cell.job_calls import Accepted, Cancelled, JobCalls, PhaseUnknown
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Route, RouteTable
@@ -126,6 +127,7 @@
     :param routes: returns the current configuration, or ``None`` until one has been read.
     :param count_pending: returns the number of pending jobs of a queue, or ``None`` when it is
         currently unknown.
+    :param admission: refuses jobs while the cell is full; ``None`` to accept all.
     :ivar closing: set before the process exits: each connection is closed after its current
         request, so that clients connect to another process.
     :ivar in_progress: number of requests in progress.
@@ -136,6 +138,7 @@
     jobs: JobCalls
     routes: Callable[[], RouteTable | None]
     count_pending: CountPending
+    admission: AdmissionControl | None = None
     closing: bool = False
     in_progress: int = field(default=0, init=False)
 
@@ -287,6 +290,14 @@
             account=routes.accounts.settings[account] if routes is not None and account else None,
             accepted_at_s=round(self.clock.wall(), 2),
         )
+        if self.admission is not None:
+            refused = await self.admission.refusal(record)
+            if refused is not None:
+                return _error_response(
+                    429,
+                    "the account has more work than it can end in time; the job will not run",
+                    retry_after_s=refused.retry_after_s,
+                )
         match await self.jobs.submit(record, deadline=request.deadline):
             case Accepted.YES:
                 return ClientResponse(status=200)
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -8,14 +8,16 @@
 import socket
 from pathlib import Path
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
+from rhubarbferry.cell.admission_control import AdmissionControl
 from rhubarbferry.cell.candidate import Candidate
 from rhubarbferry.cell.configuration_watch import ConfigurationWatcher
 from rhubarbferry.cell.direct_calls import DirectJobCalls
 from rhubarbferry.cell.fallback_calls import FallbackJobCalls
 from rhubarbferry.cell.lease import LeaseKeeper
+from rhubarbferry.cell.load_summary import LoadView
 from rhubarbferry.cell.logs import EventLog
 from rhubarbferry.cell.loop_lag import LoopLag
 from rhubarbferry.cell.members import CellView, Member
@@ -39,6 +41,7 @@
     SETTINGS_VARIABLE,
     SettingsFile,
     SettingsFileError,
+    load_admission_settings,
     load_settings_file,
 )
 from rhubarbferry.platform.store import PlatformStore
@@ -70,6 +73,7 @@
 class Process:
     """One process of a cell and its components.
 
+    :param own_settings: INI file with this system's own settings; ``None`` for the defaults.
     :ivar draining: set when the process has begun to shut down.
     """
 
@@ -78,6 +82,7 @@
     signals: Signals
     clock: SystemClock = field(factory=SystemClock)
     view: CellView = field(factory=CellView)
+    own_settings: Path | None = None
     draining: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -111,7 +116,12 @@
             if addresses.policy
             else None
         )
-        self.peers = PeerClient(extra_s=self.loop_lag.per_call_s)
+        self.load_view = LoadView(
+            clock=self.clock,
+            log=self.log,
+            enabled=lambda: self.settings.cell.admission.refuse_when_full,
+        )
+        self.peers = PeerClient(extra_s=self.loop_lag.per_call_s, load=self.load_view)
         self.keeper = LeaseKeeper(clock=self.clock, store=self.store, log=self.log)
         self.candidate = Candidate(
             process=ProcessContext(
@@ -128,6 +138,7 @@
                 peers=self.peers,
                 routes=lambda: self.feed.routes,
                 lag_s=lambda: self.loop_lag.lag_s,
+                admission=lambda: self.settings.cell.admission,
             )
         )
         owner = OwnerClient(
@@ -175,6 +186,15 @@
             ),
             routes=lambda: self.feed.routes,
             count_pending=owner.pending,
+            admission=AdmissionControl(
+                clock=self.clock,
+                log=self.log,
+                settings=lambda: self.settings.cell.admission,
+                owner=owner,
+                view=self.load_view,
+                config_revision=lambda: self.feed.routes.revision if self.feed.routes else 0,
+                stored_status=direct_calls.status,
+            ),
         )
 
     async def run(self) -> None:
@@ -258,7 +278,7 @@
                 await asyncio.wait_for(self.signals.reload.wait(), SETTINGS_POLL_INTERVAL_S)
             self.signals.reload.clear()
             try:
-                settings = read_settings()
+                settings = read_settings(self.own_settings)
             except SettingsFileError as exc:
                 self.log.emit("settings.refused", reason=str(exc), outcome="the last ones stay")
                 continue
@@ -293,9 +313,10 @@
             return None
 
 
-def read_settings() -> SettingsFile:
+def read_settings(own_settings: Path | None = None) -> SettingsFile:
     """Read the settings file that the environment variable names.
 
+    :param own_settings: INI file with this system's own settings; ``None`` for the defaults.
     :raises SettingsFileError: when the file is not usable.
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
@@ -303,4 +324,8 @@
         raise SettingsFileError(
             f"{SETTINGS_VARIABLE}: not set; set it to the path of the settings file"
         )
-    return load_settings_file(Path(path))
+    settings = load_settings_file(Path(path))
+    if own_settings is None:
+        return settings
+    cell = evolve(settings.cell, admission=load_admission_settings(own_settings))
+    return evolve(settings, cell=cell)
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+import configparser
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
+import attrs
 from attrs import frozen
 
-from rhubarbferry.cell.settings import Bounds, CellSettings
+from rhubarbferry.cell.settings import AdmissionSettings, Bounds, CellSettings
 
 SETTINGS_VARIABLE = "RHUBARBFERRY_SETTINGS"
 # Calls between the processes of a cell use the first port that the platform allocates to a process.
 PEER_PORT_INDEX = 0
 # Must match `metrics` in deploy/system.toml, which supports only a fixed port.
 METRICS_PORT = 9464
+ADMISSION_SECTION = "admission"
 
 
 class SettingsFileError(Exception):
@@ -104,6 +107,37 @@
     )
 
 
+def load_admission_settings(path: Path) -> AdmissionSettings:
+    """Read the section ``[admission]`` of the INI file with this system's own settings.
+
+    :raises SettingsFileError: when the file can't be read, or has an unknown section, key or value.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        reason = " ".join(str(exc).split())
+        raise SettingsFileError(f"{path}: {reason}; name a readable INI file") from exc
+    unknown = [name for name in parser.sections() if name != ADMISSION_SECTION]
+    if unknown:
+        raise SettingsFileError(f"{path}: unknown section [{unknown[0]}]; remove it")
+    defaults = AdmissionSettings()
+    if ADMISSION_SECTION not in parser:
+        return defaults
+    section = parser[ADMISSION_SECTION]
+    for key in section:
+        if key not in attrs.fields_dict(AdmissionSettings):
+            raise SettingsFileError(f"{path}: unknown key {key!r}; remove it")
+    try:
+        refuse = section.getboolean("refuse_when_full", defaults.refuse_when_full)
+        max_age_s = section.getfloat("max_summary_age_s", defaults.max_summary_age_s)
+    except ValueError as exc:
+        raise SettingsFileError(f"{path}: {exc}; write yes or no, or a number of seconds") from exc
+    if not 0 < max_age_s < float("inf"):
+        raise SettingsFileError(f"{path}: max_summary_age_s: write a number of seconds above 0")
+    return AdmissionSettings(refuse_when_full=refuse, max_summary_age_s=max_age_s)
+
+
 _MISSING = object()
 
 
--- a/rhubarbferry/rpc/gen/ttypes.py
+++ b/rhubarbferry/rpc/gen/ttypes.py
@@ -2148,6 +2148,134 @@
         self.known = known
 
 
+class QueueLoad(TBase):
+    """
+    Attributes:
+     - priority
+     - in_time_ms
+     - late_ms
+
+    """
+
+    __slots__ = (
+        'priority',
+        'in_time_ms',
+        'late_ms',
+    )
+
+
+    def __init__(self, priority=None, in_time_ms=None, late_ms=None,):
+        self.priority = priority
+        self.in_time_ms = in_time_ms
+        self.late_ms = late_ms
+
+
+class AccountLoad(TBase):
+    """
+    Attributes:
+     - account
+     - used_millicores
+     - owed_millicores
+     - usable_millicores
+     - ahead
+
+    """
+
+    __slots__ = (
+        'account',
+        'used_millicores',
+        'owed_millicores',
+        'usable_millicores',
+        'ahead',
+    )
+
+
+    def __init__(self, account=None, used_millicores=None, owed_millicores=None, usable_millicores=None, ahead=None,):
+        self.account = account
+        self.used_millicores = used_millicores
+        self.owed_millicores = owed_millicores
+        self.usable_millicores = usable_millicores
+        self.ahead = ahead
+
+
+class ServiceLoad(TBase):
+    """
+    Attributes:
+     - service_name
+     - millicores
+     - memory_mb
+     - accelerators
+     - accounts
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'millicores',
+        'memory_mb',
+        'accelerators',
+        'accounts',
+    )
+
+
+    def __init__(self, service_name=None, millicores=None, memory_mb=None, accelerators=None, accounts=None,):
+        self.service_name = service_name
+        self.millicores = millicores
+        self.memory_mb = memory_mb
+        self.accelerators = accelerators
+        self.accounts = accounts
+
+
+class LoadSummary(TBase):
+    """
+    Attributes:
+     - format
+     - fence
+     - number
+     - config_revision
+     - age_ms
+     - services
+
+    """
+
+    __slots__ = (
+        'format',
+        'fence',
+        'number',
+        'config_revision',
+        'age_ms',
+        'services',
+    )
+
+
+    def __init__(self, format=None, fence=None, number=None, config_revision=None, age_ms=None, services=None,):
+        self.format = format
+        self.fence = fence
+        self.number = number
+        self.config_revision = config_revision
+        self.age_ms = age_ms
+        self.services = services
+
+
+class KnownLoad(TBase):
+    """
+    Attributes:
+     - fence
+     - number
+
+    """
+
+    __slots__ = (
+        'fence',
+        'number',
+    )
+
+
+    def __init__(self, fence=None, number=None,):
+        self.fence = fence
+        self.number = number
+
+
 class JobNotice(TBase):
     """
     Attributes:
@@ -2155,6 +2283,7 @@
      - record
      - revision
      - fence
+     - known_load
 
     """
 
@@ -2163,46 +2292,54 @@
         'record',
         'revision',
         'fence',
+        'known_load',
     )
 
 
-    def __init__(self, job=None, record=None, revision=None, fence=None,):
+    def __init__(self, job=None, record=None, revision=None, fence=None, known_load=None,):
         self.job = job
         self.record = record
         self.revision = revision
         self.fence = fence
+        self.known_load = known_load
 
 
 class JobNoticeReply(TBase):
     """
     Attributes:
      - taken
+     - load
 
     """
 
     __slots__ = (
         'taken',
+        'load',
     )
 
 
-    def __init__(self, taken=None,):
+    def __init__(self, taken=None, load=None,):
         self.taken = taken
+        self.load = load
 
 
 class OwnedPhaseRequest(TBase):
     """
     Attributes:
      - job
+     - known_load
 
     """
 
     __slots__ = (
         'job',
+        'known_load',
     )
 
 
-    def __init__(self, job=None,):
+    def __init__(self, job=None, known_load=None,):
         self.job = job
+        self.known_load = known_load
 
 
 class OwnedPhaseReply(TBase):
@@ -2210,18 +2347,24 @@
     Attributes:
      - phase
      - account
+     - load
+     - loaded
 
     """
 
     __slots__ = (
         'phase',
         'account',
+        'load',
+        'loaded',
     )
 
 
-    def __init__(self, phase=None, account=None,):
+    def __init__(self, phase=None, account=None, load=None, loaded=None,):
         self.phase = phase
         self.account = account
+        self.load = load
+        self.loaded = loaded
 
 
 class StoreReachRequest(TBase):
@@ -3179,6 +3322,47 @@
     (1, TType.BOOL, 'recorded', None, None, ),  # 1
     (2, TType.BOOL, 'known', None, None, ),  # 2
 )
+all_structs.append(QueueLoad)
+QueueLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'priority', None, None, ),  # 1
+    (2, TType.I64, 'in_time_ms', None, None, ),  # 2
+    (3, TType.I64, 'late_ms', None, None, ),  # 3
+)
+all_structs.append(AccountLoad)
+AccountLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'used_millicores', None, None, ),  # 2
+    (3, TType.I64, 'owed_millicores', None, None, ),  # 3
+    (4, TType.I64, 'usable_millicores', None, None, ),  # 4
+    (5, TType.LIST, 'ahead', (TType.STRUCT, [QueueLoad, None], False), None, ),  # 5
+)
+all_structs.append(ServiceLoad)
+ServiceLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'millicores', None, None, ),  # 2
+    (3, TType.I64, 'memory_mb', None, None, ),  # 3
+    (4, TType.I64, 'accelerators', None, None, ),  # 4
+    (5, TType.LIST, 'accounts', (TType.STRUCT, [AccountLoad, None], False), None, ),  # 5
+)
+all_structs.append(LoadSummary)
+LoadSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'format', None, None, ),  # 1
+    (2, TType.I64, 'fence', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I64, 'config_revision', None, None, ),  # 4
+    (5, TType.I64, 'age_ms', None, None, ),  # 5
+    (6, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 6
+)
+all_structs.append(KnownLoad)
+KnownLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fence', None, None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+)
 all_structs.append(JobNotice)
 JobNotice.thrift_spec = (
     None,  # 0
@@ -3186,22 +3370,27 @@
     (2, TType.STRING, 'record', 'BINARY', None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.I64, 'fence', None, None, ),  # 4
+    (5, TType.STRUCT, 'known_load', [KnownLoad, None], None, ),  # 5
 )
 all_structs.append(JobNoticeReply)
 JobNoticeReply.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'taken', None, None, ),  # 1
+    (2, TType.STRUCT, 'load', [LoadSummary, None], None, ),  # 2
 )
 all_structs.append(OwnedPhaseRequest)
 OwnedPhaseRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'known_load', [KnownLoad, None], None, ),  # 2
 )
 all_structs.append(OwnedPhaseReply)
 OwnedPhaseReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'phase', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'account', 'UTF8', None, ),  # 2
+    (3, TType.STRUCT, 'load', [LoadSummary, None], None, ),  # 3
+    (4, TType.BOOL, 'loaded', None, None, ),  # 4
 )
 all_structs.append(StoreReachRequest)
 StoreReachRequest.thrift_spec = (
--- a/rhubarbferry/rpc/idl/rhubarbferry.thrift
+++ b/rhubarbferry/rpc/idl/rhubarbferry.thrift
@@ -563,18 +563,61 @@
   3: optional string account, /* account of the caller; absent: jobs of any account */
 }
 struct RelayedCancelReply { 1: required bool recorded, 2: required bool known }
+/*
+ * Load of a full cell as its owner has summed it up. A process decides with it whether it accepts a
+ * job. All fields are optional, so that a reply can always be decoded; the receiver checks them.
+ */
+struct QueueLoad {
+  1: optional i32 priority,
+  2: optional i64 in_time_ms, /* work in core-milliseconds */
+  3: optional i64 late_ms,
+}
+struct AccountLoad {
+  1: optional string account,
+  2: optional i64 used_millicores,
+  3: optional i64 owed_millicores,
+  4: optional i64 usable_millicores,
+  5: optional list<QueueLoad> ahead,
+}
+struct ServiceLoad {
+  1: optional string service_name,
+  2: optional i64 millicores,
+  3: optional i64 memory_mb,
+  4: optional i64 accelerators,
+  5: optional list<AccountLoad> accounts,
+}
+struct LoadSummary {
+  1: optional i32 format, /* a receiver ignores the formats that it does not know */
+  2: optional i64 fence,
+  3: optional i64 number, /* rises with each summary of an owner */
+  4: optional i64 config_revision,
+  5: optional i64 age_ms, /* when the reply is sent */
+  6: optional list<ServiceLoad> services, /* the services that are full */
+}
+/* The newest summary that a process has; both 0 for none. */
+struct KnownLoad { 1: optional i64 fence, 2: optional i64 number }
 /* Notifies the owner of the work of a job that has just been stored. */
 struct JobNotice {
   1: required string job,
   2: required binary record,
   3: required i64 revision, /* revision of the store that contains the job */
   4: required i64 fence, /* ownership in force at that revision */
+  5: optional KnownLoad known_load, /* set by a process that uses summaries of the load */
+}
+struct JobNoticeReply {
+  1: required bool taken,
+  2: optional LoadSummary load, /* set if it is newer than the one that the caller has */
+}
+struct OwnedPhaseRequest {
+  1: required string job,
+  2: optional KnownLoad known_load,
 }
-struct JobNoticeReply { 1: required bool taken }
-struct OwnedPhaseRequest { 1: required string job }
 struct OwnedPhaseReply {
   1: optional string phase, /* absent when the process does not know it */
   2: optional string account, /* account that submitted it, empty for none */
+  3: optional LoadSummary load,
+  /* Set by an owner that has read all jobs: without a phase, there is no such job. */
+  4: optional bool loaded,
 }
 /* Sent by an owner to which the store no longer responds, to find a process that can reach it. */
 struct StoreReachRequest { 1: optional string sender }
