--- a/tests/cell/cell_harness.py
+++ b/tests/cell/cell_harness.py
@@ -136,7 +136,7 @@
         self.workers[id] = worker
         return worker
 
-    async def start(self, name: str) -> MemberProcess:
+    async def start(self, name: str, *args: str) -> MemberProcess:
         # Each process needs its own address, because one of its ports is the same for all.
         ip = self.addresses.setdefault(name, f"127.0.0.{2 + len(self.addresses)}")
         ports = free_ports(ip, 3)
@@ -157,6 +157,7 @@
                 sys.executable,
                 "-m",
                 "rhubarbferry.platform",
+                *args,
                 stdout=sink,
                 stderr=asyncio.subprocess.STDOUT,
                 env={**os.environ, "RHUBARBFERRY_SETTINGS": str(path)},
