--- a/rhubarbferry/cell/load_summarizer.py
+++ b/rhubarbferry/cell/load_summarizer.py
@@ -48,7 +48,9 @@
         while True:
             await asyncio.sleep(SUMMARY_INTERVAL_S)
             if self.ctx.process.admission().refuse_when_full:
+                before = self.latest
                 self.latest = await self._sum_up()
+                self._log_changes(before, self.latest)
                 self._update_metrics()
             else:
                 self.latest = None
@@ -78,6 +80,21 @@
             services=services,
         )
 
+    def _log_changes(self, before: LoadSummary | None, after: LoadSummary | None) -> None:
+        """Log each service that has become full or has room again."""
+        old = {load.service: load for load in before.services} if before is not None else {}
+        new = {load.service: load for load in after.services} if after is not None else {}
+        for service in sorted(old.keys() ^ new.keys()):
+            load = new.get(service) or old[service]
+            self.ctx.process.log.emit(
+                "service.load",
+                service=service,
+                cores=load.capacity.millicores / 1000,
+                accounts=len(load.accounts),
+                fence=self.ctx.tenure.fence,
+                outcome="full" if service in new else "has room",
+            )
+
     def newer_than(self, known: KnownLoad) -> WireLoadSummary | None:
         """Return the latest summary, encoded, if the caller does not have it yet."""
         latest = self.latest
--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -51,7 +51,7 @@
 
 def fill(world: World) -> None:
     """Let the dispatcher start what finds room."""
-    while orders := world.starts():
+    while (orders := world.starts()) or world.dispatcher.has_more:
         world.accept(*orders)
 
 
@@ -219,6 +219,20 @@
     assert decide(world, record(raised), accounts={**accounts, "a": raised}) == Admitted()
 
 
+def test_work_that_a_quota_blocks_leaves_its_share_to_others():
+    """Guards against refusing an account although another one can't use its own share."""
+    world = full_world()
+    limited = Account(name="b", weight=1.0, quota=Sizes(millicores=2 * CORES))
+    accounts = {**ACCOUNTS, "b": limited}
+    world.dispatcher.quotas.configure(accounts)
+    submit(world, limited, 200, age_s=0.5)
+    submit(world, ACCOUNTS["a"], 200)
+    fill(world)
+    world.decide()
+    loads = {load.account: load for load in summarise(world, accounts).services[0].accounts}
+    assert loads["a"].usable_cores > 70.0
+
+
 def test_job_larger_than_its_quota_waits_for_a_larger_one_as_before():
     world = flooded_world()
     small = evolve(ACCOUNTS["a"], quota=Sizes(millicores=CORES // 2))
