--- a/rhubarbferry/cell/account_usage.py
+++ b/rhubarbferry/cell/account_usage.py
@@ -58,8 +58,7 @@
     def log_blocked_steps(self) -> None:
         """Log the steps that have been blocked for the first time since the last call."""
         quotas = self.dispatcher.quotas
-        steps, self.dispatcher.newly_blocked = self.dispatcher.newly_blocked, []
-        for step in steps:
+        for step in self.dispatcher.blocks.take_newly_blocked():
             account = quotas.accounts[step.job.account_name]
             used = quotas.used(account.name)
             oversized = quotas.exceeds_quota(step)
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-import sys
 from collections.abc import Iterable, Mapping
 
 from attrs import Factory, define, field
@@ -49,6 +48,7 @@
 from rhubarbferry.dispatch.pacing import Pacing
 from rhubarbferry.dispatch.placement import Placement, place
 from rhubarbferry.dispatch.preemption import Holds
+from rhubarbferry.dispatch.quota_blocks import QuotaBlocks
 from rhubarbferry.dispatch.quotas import Quotas
 from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.dispatch.tracker import (
@@ -59,7 +59,7 @@
     RunStarted,
     Tracker,
 )
-from rhubarbferry.dispatch.waiting import BlockKey, WaitingSteps
+from rhubarbferry.dispatch.waiting import WaitingSteps
 
 # A host that refused a start because of its own state receives no new task for this long.
 REFUSAL_BACKOFF_S = 0.5
@@ -95,8 +95,6 @@
     :param lease_s: maximum task lease that a host grants, in seconds.
     :ivar dirty: jobs whose state in the store is out of date, in the order of their first change.
     :ivar ended: final status of each job whose end has been written to the store.
-    :ivar newly_blocked: steps that their account's quota has blocked for the first time, and that
-        the caller has not logged yet.
     :ivar run_events: ended and refused runs that the caller has not logged yet.
     """
 
@@ -105,11 +103,11 @@
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
     ended: dict[str, JobStatus] = Factory(dict)
-    newly_blocked: list[Step] = Factory(list)
     run_events: list[RunEvent] = Factory(list)
     quotas: Quotas = Factory(Quotas)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
+    blocks: QuotaBlocks = field(init=False)
     shares: AccountShares = field(init=False)
     holds: Holds = field(init=False)
     pacing: Pacing = Factory(Pacing)
@@ -126,6 +124,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.tracker = Tracker(jobs=self.jobs, lease_s=self.lease_s, quotas=self.quotas)
+        self.blocks = QuotaBlocks(quotas=self.quotas, waiting=self.waiting)
         self.shares = AccountShares(quotas=self.quotas)
         self.holds = Holds(shares=self.shares)
         self._candidates = Candidates(waiting=self.waiting, shares=self.shares)
@@ -341,7 +340,8 @@
                 self._reconsider(step, now)
         self._resume_inherited_jobs(now)
         self._end_stopped_jobs()
-        self._unblock_steps()
+        for step in self.blocks.take_unblocked():
+            self._candidates.include(step)
         orders += self._place_candidates(now, starts)
         orders += self.tracker.take_orders()
         orders += self.pacing.take_orders()
@@ -400,7 +400,7 @@
     def _place(self, step: Step, open_hosts: list[Host], now: float) -> list[Order]:
         if step.job.id in self._unresolved_jobs:
             return []
-        limit = self._quota_limit(step)
+        limit = self.blocks.limit(step)
         if limit == 0:
             self._block(step)
             return []
@@ -432,54 +432,9 @@
             self.shares.record_without_room(step)
         return orders
 
-    def _quota_limit(self, step: Step) -> int:
-        """Return how many waiting tasks of a step may start within the quota of its account.
-
-        Without a limit for the steps behind a blocked one, small tasks could use all quota that
-        becomes free, and a gang of the same account would wait for good.
-        """
-        waiting = len(step.waiting_tasks())
-        if not waiting:
-            # Its reserved tasks wait for tickets, and are already part of the usage.
-            return sys.maxsize
-        free = self.quotas.free_tasks(step)
-        if free < waiting and step.req.gang:
-            return 0
-        blocked = self.waiting.blocked(BlockKey(account=step.job.account_name))
-        if blocked and step in self.waiting:
-            first = self.waiting.position(blocked[0])
-            if first < self.waiting.position(step):
-                # The step may have become less urgent than one that fits by now.
-                self.quotas.mark_changed(step.job.account_name)
-                return 0
-        return free
-
     def _block(self, step: Step) -> None:
-        if step not in self.waiting or self.waiting.is_blocked(step):
-            return
-        oversized = self.quotas.exceeds_quota(step)
-        self.waiting.block(step, BlockKey(account=step.job.account_name, oversized=oversized))
-        self.holds.drop(step)
-        if not step.ever_blocked:
-            step.ever_blocked = True
-            self.newly_blocked.append(step)
-
-    def _unblock_steps(self) -> None:
-        """Reconsider the blocked steps of the accounts whose free quota has grown."""
-        for account in self.quotas.take_changed_quotas():
-            for oversized in (True, False):
-                key = BlockKey(account=account, oversized=oversized)
-                for step in list(self.waiting.blocked(key)):
-                    if self.quotas.exceeds_quota(step) is not oversized:
-                        self._unblock(step)
-        for account in self.quotas.take_changed():
-            blocked = self.waiting.blocked(BlockKey(account=account))
-            for step in self.quotas.startable_steps(account, blocked):
-                self._unblock(step)
-
-    def _unblock(self, step: Step) -> None:
-        self.waiting.unblock(step)
-        self._candidates.include(step)
+        if self.blocks.block(step):
+            self.holds.drop(step)
 
     def _may_preempt(self, step: Step, allowed: list[Host], open_hosts: list[Host]) -> bool:
         """Return whether tasks of lower priority may be preempted for a step that found no room.
