--- a/rhubarbferry/bench/days.py
+++ b/rhubarbferry/bench/days.py
@@ -20,7 +20,7 @@
 
 from rhubarbferry.bench.day_work import DAYS, Arrival, Day, arrivals
 from rhubarbferry.cell.members import Member
-from rhubarbferry.cell.policy_requests import Assignment, PolicyRequestQueue
+from rhubarbferry.cell.policy_requests import PolicyRequestQueue
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.job import Job, JobPhase
 from rhubarbferry.dispatch.messages import (
@@ -144,7 +144,7 @@
 
     def _set_up(self) -> None:
         self._dispatcher = Dispatcher(takeover=Takeover(leases_expire_at=0.0), lease_s=LEASE_S)
-        self._advice_queue = PolicyRequestQueue(own="0", region="region", source=self._dispatcher)
+        self._advice_queue = PolicyRequestQueue(own="0", region="region")
         self._members = [
             Member(name=str(index), address="", region="region", failure_domain="")
             for index in range(self.day.members)
@@ -361,8 +361,8 @@
             orders += self._dispatcher.decide(now=self.now, wall_s=self.now)
         for order in orders:
             self._execute(order)
-        for assignment in self._advice_queue.assign(self._members, now=self.now):
-            self._request_advice(assignment)
+        for assignment in self._advice_queue.assign(self._members):
+            self._request_advice(assignment.order, assignment.member.name)
         for job in list(self._dispatcher.dirty.values()):
             if job.phase.final:
                 self._schedule(self.now + PERSIST_DELAY_S, partial(self._handle_recorded_end, job))
@@ -380,7 +380,8 @@
             case StopOrder():
                 self._schedule(self.now + ONE_WAY_DELAY_S, lambda: self._stop(order))
             case ApprovalRequest():
-                self._advice_queue.add(order, now=self.now)
+                job = self._dispatcher.jobs.get(order.step.job)
+                self._advice_queue.add(order, priority=job.queue.priority if job is not None else 0)
 
     def _is_lost(self, order: StartOrder) -> bool:
         share = sum(
@@ -408,14 +409,12 @@
         self._dispatcher.stop_answered(order.host, order.task, order.attempt, clock_s)
         self._schedule(self.now + 2 * ONE_WAY_DELAY_S, lambda: self._report(order.host))
 
-    def _request_advice(self, assignment: Assignment) -> None:
-        order = assignment.order
+    def _request_advice(self, order: ApprovalRequest, member: str) -> None:
         elapsed_s = order.cost.duration_s(len(order.hosts)) + ONE_WAY_DELAY_S
-        self._schedule(self.now + elapsed_s, lambda: self._deliver_advice(assignment))
+        self._schedule(self.now + elapsed_s, lambda: self._deliver_advice(order, member))
 
-    def _deliver_advice(self, assignment: Assignment) -> None:
-        order = assignment.order
-        self._advice_queue.done(assignment, answered=True, now=self.now)
+    def _deliver_advice(self, order: ApprovalRequest, member: str) -> None:
+        self._advice_queue.done(member)
         approved = self._approved.get(order.step)
         if approved is None:
             approved = self._approved[order.step] = self._draw_approved(order.step)
--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from attrs import define
-from prometheus_client import Counter, Gauge, Histogram
+from prometheus_client import Counter, Histogram
 
 from rhubarbferry.cell.logs import EventLog
-from rhubarbferry.cell.policy_requests import Assignment, PolicyRequestQueue
+from rhubarbferry.cell.policy_requests import Assignment
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.messages import (
     OrderResult,
@@ -37,21 +37,6 @@
 APPROVALS_FAILED = Counter(
     "rhubarbferry_approvals_failed_total", "Approval requests without an answer"
 )
-POLICY_CALLS = Gauge(
-    "rhubarbferry_policy_calls", "Requests to the policy service in progress, one a process at most"
-)
-POLICY_CALLS_POSSIBLE = Gauge(
-    "rhubarbferry_policy_calls_possible",
-    "Requests to the policy service that the processes of the cell can send at the same time",
-    ["kind"],
-)
-POLICY_REQUESTS_WAITING = Gauge(
-    "rhubarbferry_policy_requests_waiting", "Requests that wait for a process to send them"
-)
-POLICY_REQUESTS_DROPPED = Counter(
-    "rhubarbferry_policy_requests_dropped_total",
-    "Requests that were not sent because their steps no longer needed them",
-)
 
 
 def task_label(task: TaskId) -> str:
@@ -127,19 +112,10 @@
             asker=assignment.member.name,
             asked=len(order.hosts),
             approved=approved,
-            waited_s=round(assignment.waited_s, 4),
             took_s=round(took_s, 4),
             outcome=reason or "answered",
         )
 
-    def policy_requests(self, queue: PolicyRequestQueue, *, processes: int, now: float) -> None:
-        """Update the metrics of the requests to the policy service."""
-        POLICY_CALLS.set(queue.in_progress_count)
-        POLICY_CALLS_POSSIBLE.labels("all").set(processes)
-        POLICY_CALLS_POSSIBLE.labels("long").set(queue.max_long(processes, now=now))
-        POLICY_REQUESTS_WAITING.set(queue.waiting_count)
-        POLICY_REQUESTS_DROPPED.inc(queue.take_dropped())
-
     def _emit_run(self, name: str, event: RunEnded | RunFound | RunHung, **fields: object) -> None:
         self.log.emit(
             name,
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -53,9 +53,7 @@
 
     def __attrs_post_init__(self) -> None:
         own = self.ctx.process.own
-        self._policy_requests = PolicyRequestQueue(
-            own=own.name, region=own.region, source=self.ctx.dispatcher
-        )
+        self._policy_requests = PolicyRequestQueue(own=own.name, region=own.region)
 
     def start_capacity(self) -> float:
         """Return how many more tasks may be started now, ``inf`` if the lag is within its goal."""
@@ -74,18 +72,15 @@
             case PaceOrder():
                 self.spawn(self._pace(order))
             case ApprovalRequest():
-                self._policy_requests.add(order, now=self.ctx.now())
+                job = self.ctx.dispatcher.jobs.get(order.step.job)
+                self._policy_requests.add(
+                    order, priority=job.queue.priority if job is not None else 0
+                )
 
     def request_approvals(self, members: list[Member]) -> None:
         """Distribute the queued approval requests among the processes of the cell."""
-        now = self.ctx.now()
-        for assignment in self._policy_requests.release_absent(members):
-            self.log.approval(assignment, approved=None, reason="its process has left the cell")
-            self.ctx.dispatcher.approval_request_abandoned(assignment.order, now=now)
-            self.ctx.wake.set()
-        for assignment in self._policy_requests.assign(members, now=now):
+        for assignment in self._policy_requests.assign(members):
             self.spawn(self._request_approval(assignment))
-        self.log.policy_requests(self._policy_requests, processes=len(members), now=now)
 
     @contextmanager
     def _counted_call(self) -> Iterator[None]:
@@ -211,13 +206,10 @@
                     assignment.member, order.step, order.hosts, timeout_s=timeout_s
                 )
         except WorkerError as exc:
-            now = self.ctx.now()
-            if self._policy_requests.done(assignment, answered=False, now=now):
-                self.log.approval(assignment, approved=None, reason=str(exc)[:200])
-                self.ctx.dispatcher.approval_request_failed(order, now=now)
+            self.log.approval(assignment, approved=None, reason=str(exc)[:200])
+            self.ctx.dispatcher.approval_request_failed(order, now=self.ctx.now())
         else:
             now = self.ctx.now()
-            self._policy_requests.done(assignment, answered=True, now=now)
             self.log.approval(assignment, approved=len(response.approvals), took_s=now - sent_at)
             self.ctx.dispatcher.handle_approvals(
                 ApprovalResponse(
@@ -230,5 +222,5 @@
                 now=now,
             )
         finally:
-            self._policy_requests.done(assignment, answered=False, now=self.ctx.now())
+            self._policy_requests.done(assignment.member.name)
             self.ctx.wake.set()
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -18,10 +18,8 @@
 from rhubarbferry.dispatch.approval_request_size import ApprovedShare
 from rhubarbferry.dispatch.approval_requests import (
     APPROVAL_RETRY_INTERVAL_S,
-    RequestRank,
     has_undecided_room,
     next_approval_request,
-    rank_request,
 )
 from rhubarbferry.dispatch.candidates import Candidates
 from rhubarbferry.dispatch.evacuation import runs_to_stop
@@ -275,45 +273,6 @@
         step.approvals.failed_at = now
         self._approval_retry_at[step] = now + APPROVAL_RETRY_INTERVAL_S
 
-    def approval_request_abandoned(self, request: ApprovalRequest, *, now: float) -> None:
-        """Record that the process that sent a request has left, and request the hosts again."""
-        step = self._step(request.step)
-        if step is not None:
-            step.approvals.pending.difference_update(request.hosts)
-            self._reconsider(step, now)
-
-    def request_rank(self, request: ApprovalRequest, *, now: float) -> RequestRank | None:
-        """Return the rank of a request that has not been sent, ``None`` if its step has ended."""
-        step = self._step(request.step)
-        return rank_request(step, now) if step is not None and not step.done else None
-
-    def update_request(self, request: ApprovalRequest, *, now: float) -> ApprovalRequest | None:
-        """Return a request that has not been sent, with the hosts that its step needs now.
-
-        Return ``None`` if the step needs no request any more.
-        """
-        step = self._step(request.step)
-        if step is None:
-            return None
-        if not step.approvals.pending.issubset(request.hosts):
-            # A part of the request is in progress, and the rest completes it.
-            return request
-        step.approvals.pending.clear()
-        unusable = self._ejector.unusable(now=now)
-        open_hosts = [
-            host
-            for host in self.tracker.hosts.values()
-            if host.is_open and host.id not in unusable and not self.waiting.is_blocked(step)
-        ]
-        return self._next_request(step, open_hosts, now)
-
-    def _next_request(
-        self, step: Step, open_hosts: list[Host], now: float
-    ) -> ApprovalRequest | None:
-        held = self.holds.hosts(step)
-        share = self.approved_share(step.job.queue).value
-        return next_approval_request(step, open_hosts, self.tracker.hosts, held, share, now)
-
     # ------------------------------------------------------------ decisions
 
     def decide(self, *, now: float, wall_s: float, starts: float = math.inf) -> list[Order]:
@@ -422,7 +381,9 @@
         if placed or approval_cost is not None:
             orders += self._reserve(step, placed, now)
         if approval_cost is not None:
-            request = self._next_request(step, open_hosts, now)
+            held = self.holds.hosts(step)
+            share = self.approved_share(step.job.queue).value
+            request = next_approval_request(step, open_hosts, self.tracker.hosts, held, share, now)
             orders += [request] if request is not None else []
         if not step.waiting_tasks():
             self.waiting.discard(step)
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -401,14 +401,11 @@
 
     :param hosts: ids of the hosts to decide on.
     :param cost: cost model of the request, used to select the process that sends it.
-    :param objective_s: time within which callers of the queue expect the work to begin, 0 if the
-        queue states none.
     """
 
     step: StepId
     hosts: tuple[str, ...]
     cost: ApprovalCost
-    objective_s: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
--- a/tests/cell/test_wide_steps.py
+++ b/tests/cell/test_wide_steps.py
@@ -7,7 +7,7 @@
 import pytest
 from attrs import evolve
 
-from rhubarbferry.cell.policy_requests import Assignment, PolicyRequestQueue
+from rhubarbferry.cell.policy_requests import PolicyRequestQueue
 from rhubarbferry.dispatch.messages import (
     Approval,
     ApprovalCost,
@@ -61,24 +61,24 @@
 def wait_for_starts(world: World, *, processes: int, until: float) -> list[StartOrder]:
     """Simulate processes that send requests to the policy service until a task starts."""
     members = [member(f"m{index}") for index in range(processes)]
-    queue = PolicyRequestQueue(own="m0", region="region", source=world.dispatcher)
-    in_progress: list[tuple[float, Assignment]] = []
+    queue = PolicyRequestQueue(own="m0", region="region")
+    in_progress: list[tuple[float, str, ApprovalRequest]] = []
     while world.now < until:
         world.deliver_reports()
         for entry in [entry for entry in in_progress if entry[0] <= world.now]:
             in_progress.remove(entry)
-            queue.done(entry[1], answered=True, now=world.now)
-            answer(world, entry[1].order)
+            queue.done(entry[1])
+            answer(world, entry[2])
         orders = world.decide(DECISION_INTERVAL_S)
         started = [order for order in orders if isinstance(order, StartOrder)]
         if started:
             return started
         for order in orders:
             if isinstance(order, ApprovalRequest):
-                queue.add(order, now=world.now)
-        for item in queue.assign(members, now=world.now):
+                queue.add(order, priority=0)
+        for item in queue.assign(members):
             answered_at = world.now + COST.duration_s(len(item.order.hosts))
-            in_progress.append((answered_at, item))
+            in_progress.append((answered_at, item.member.name, item.order))
     return []
 
 
--- a/tests/dispatch/test_gang_tickets.py
+++ b/tests/dispatch/test_gang_tickets.py
@@ -13,7 +13,6 @@
     ApprovalCost,
     ApprovalRequest,
     ApprovalResponse,
-    EndKind,
     Queue,
     StartOrder,
 )
@@ -103,45 +102,3 @@
     assert policy.run(world.now + 2 * VALID_S) == []
     started = policy.run(world.now + 4 * (answer_s + 0.5), hosts_to_add=hosts[-1:])
     assert {order.host for order in started} == set(hosts)
-
-
-def test_expired_tickets_are_renewed_with_the_request_for_the_last_host():
-    """Guards against two consecutive requests when a gang that waited for room finds a host."""
-    answer_s = 0.5
-    world = World(*HOSTS[:-1], millicores=8000)
-    policy = Policy(world, answer_s=answer_s)
-    world.add(job("gang", step(len(HOSTS), millicores=8000, gang=True), queue=QUEUE))
-    assert policy.run(world.now + 2 * VALID_S) == []
-    before = policy.request_count
-    started = policy.run(world.now + answer_s + 0.5, hosts_to_add=HOSTS[-1:])
-    assert {order.host for order in started} == set(HOSTS)
-    assert policy.request_count == before + 1
-
-
-def test_expired_tickets_are_not_renewed_while_there_is_too_little_room():
-    """Guards against requests that take longer for tickets that expire before the gang starts."""
-    world = World(*HOSTS[:-1], millicores=8000)
-    policy = Policy(world, answer_s=0.5)
-    world.add(job("gang", step(len(HOSTS) + 1, millicores=8000, gang=True), queue=QUEUE))
-    assert policy.run(world.now + 2 * VALID_S) == []
-    world.add_host(HOSTS[-1])
-    (order,) = [item for item in world.decide(0.1) if isinstance(item, ApprovalRequest)]
-    assert order.hosts == HOSTS[-1:]
-
-
-def test_a_gang_requests_no_approvals_while_members_are_still_running():
-    """Guards against a request for each host in turn while a broken gang is being stopped."""
-    world = World(*HOSTS[:2], millicores=16_000)
-    policy = Policy(world, answer_s=0.5)
-    world.add(job("gang", step(2, millicores=8000, gang=True, estimate=60.0), queue=QUEUE))
-    started = policy.run(world.now + 2.0)
-    world.accept(*started)
-    world.add_host(HOSTS[2], millicores=16_000)
-    ended = started[0]
-    world.hosts[ended.host].end(ended, EndKind.STOPPED)
-    world.deliver_reports()
-    asked = [item for _ in range(20) for item in world.decide(0.1)]
-    assert not any(isinstance(item, ApprovalRequest) for item in asked)
-    other = started[1]
-    world.hosts[other.host].end(other, EndKind.STOPPED)
-    assert policy.run(world.now + 2.0) != []
