--- a/rhubarbferry/bench/day_work.py
+++ b/rhubarbferry/bench/day_work.py
@@ -187,7 +187,7 @@
     @property
     def objective_s(self) -> float:
         """Return the time from arrival within which the job should end, in seconds."""
-        return self.kind.queue.slack_factor * sum(self.run_s) + self.kind.queue.objective_s
+        return self.kind.queue.job_objective_s(sum(self.run_s))
 
     @property
     def core_s(self) -> float:
--- a/rhubarbferry/dispatch/admission.py
+++ b/rhubarbferry/dispatch/admission.py
@@ -101,7 +101,7 @@
     if usable <= 0 or load.used_cores < WITHIN_SHARE * owed:
         return Admitted()
     path_s = max(critical_paths(steps), default=0.0)
-    objective_s = record.queue.slack_factor * path_s + record.queue.objective_s
+    objective_s = record.queue.job_objective_s(path_s)
     limit_s = LATE_FACTOR * objective_s
     ahead = [item for item in load.ahead if item.priority <= record.queue.priority]
     in_time = sum(item.in_time for item in ahead)
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -257,9 +257,7 @@
     @property
     def objective_s(self) -> float:
         """Time within which it should be done, counted from its arrival or due time."""
-        return (
-            self.queue.slack_factor * max(self.critical_paths, default=0.0) + self.queue.objective_s
-        )
+        return self.queue.job_objective_s(max(self.critical_paths, default=0.0))
 
     def urgency(self, step: Step, now: float) -> UrgencyPeriod:
         """Return the urgency of one of its steps."""
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -176,6 +176,13 @@
     objective_s: float = 0.0
     advice: ApprovalCost | None = None
 
+    def job_objective_s(self, chain_s: float) -> float:
+        """Return the time within which a job should be done, counted from its arrival or due time.
+
+        :param chain_s: length of its longest chain of steps.
+        """
+        return self.slack_factor * chain_s + self.objective_s
+
 
 @frozen(kw_only=True, slots=True)
 class Account:
--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -114,7 +114,7 @@
     should be retried soon.
     """
     chain_s = sum(step.estimate_s for step in record.req.steps)
-    objective_s = record.queue.slack_factor * chain_s + record.queue.objective_s
+    objective_s = record.queue.job_objective_s(chain_s)
     return round(
         min(max(objective_s * RETRY_OBJECTIVE_SHARE, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
     )
