Use one function for the dominant share of a capacity

The load of a full cell computed it again beside the shares of accounts. The list of newly blocked steps is read only by the method that takes them, so it is private now. No behaviour changes.

--- a/rhubarbferry/dispatch/account_shares.py
+++ b/rhubarbferry/dispatch/account_shares.py
@@ -53,6 +53,14 @@
     return math.isfinite(weight) and weight > 0
 
 
+def share_of(used: Sizes, capacity: Sizes) -> float:
+    """Return the largest fraction of a capacity that is used in any resource."""
+    return dominant_share(
+        (used.millicores, used.memory_mb, used.accelerators),
+        (capacity.millicores, capacity.memory_mb, capacity.accelerators),
+    )
+
+
 @define(kw_only=True, eq=False)
 class AccountShares:
     """Standing of each client account.
@@ -134,14 +142,7 @@
 
     def in_use(self, account: str) -> float:
         """Return the dominant share that an account has in use, from 0 to 1."""
-        return self._dominant_share(self.quotas.running(account))
-
-    def _dominant_share(self, used: Sizes) -> float:
-        total = self._capacity
-        return dominant_share(
-            (used.millicores, used.memory_mb, used.accelerators),
-            (total.millicores, total.memory_mb, total.accelerators),
-        )
+        return share_of(self.quotas.running(account), self._capacity)
 
     def standing(self, account: str) -> float:
         """Return the share that an account has in use, relative to the share that it is owed."""
@@ -155,7 +156,7 @@
         # cached value holds.
         if known is not None and known[0] is used:
             return known[1]
-        standing = self._dominant_share(used) / self._owed_share(account)
+        standing = share_of(used, self._capacity) / self._owed_share(account)
         self._standings[account] = (used, standing)
         return standing
 
@@ -176,7 +177,7 @@
             return 0.0
         fraction = STARTING_FRACTION * len(step.waiting_tasks())
         owed = self._owed_share(step.job.account_name)
-        return fraction * self._dominant_share(step.req.sizes) / owed
+        return fraction * share_of(step.req.sizes, self._capacity) / owed
 
     def rank(self, step: Step, position: Position) -> Rank:
         """Return the sort key by which a waiting step comes before steps of other accounts."""
--- a/rhubarbferry/dispatch/load.py
+++ b/rhubarbferry/dispatch/load.py
@@ -7,7 +7,7 @@
 
 from attrs import Factory, define, field, frozen
 
-from rhubarbferry.dispatch.account_shares import owed_shares
+from rhubarbferry.dispatch.account_shares import owed_shares, share_of
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.job import Job, Step
 from rhubarbferry.dispatch.messages import Account, Sizes
@@ -27,16 +27,7 @@
     :param capacity: what all hosts of the service provide.
     :returns: the dominant share of the capacity, multiplied by its cores.
     """
-    shares = (
-        _share(sizes.millicores, capacity.millicores),
-        _share(sizes.memory_mb, capacity.memory_mb),
-        _share(sizes.accelerators, capacity.accelerators),
-    )
-    return max(shares) * capacity.millicores / 1000
-
-
-def _share(size: int, capacity: int) -> float:
-    return size / capacity if capacity > 0 else 0.0
+    return share_of(sizes, capacity) * capacity.millicores / 1000
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/dispatch/quota_blocks.py
+++ b/rhubarbferry/dispatch/quota_blocks.py
@@ -13,15 +13,11 @@
 
 @define(kw_only=True, eq=False)
 class QuotaBlocks:
-    """Blocks and unblocks waiting steps.
-
-    :ivar newly_blocked: steps that have been blocked for the first time, and that the caller has
-        not logged yet.
-    """
+    """Blocks and unblocks waiting steps."""
 
     quotas: Quotas
     waiting: WaitingSteps
-    newly_blocked: list[Step] = Factory(list)
+    _newly_blocked: list[Step] = Factory(list)
 
     def limit(self, step: Step) -> int:
         """Return how many waiting tasks of a step may start within the quota of its account.
@@ -53,12 +49,12 @@
         self.waiting.block(step, BlockKey(account=step.job.account_name, oversized=oversized))
         if not step.ever_blocked:
             step.ever_blocked = True
-            self.newly_blocked.append(step)
+            self._newly_blocked.append(step)
         return True
 
     def take_newly_blocked(self) -> list[Step]:
         """Return the steps that have been blocked for the first time since the last call."""
-        steps, self.newly_blocked = self.newly_blocked, []
+        steps, self._newly_blocked = self._newly_blocked, []
         return steps
 
     def take_unblocked(self) -> list[Step]:
