Ask a term in one place whether it knows a job

The owner's own process and the reply to other processes each combined ownership, loading and status. The fake term of the test answers the same question; its assertions are unchanged.

--- a/rhubarbferry/cell/owner_calls.py
+++ b/rhubarbferry/cell/owner_calls.py
@@ -48,8 +48,8 @@
         """Whether all jobs in progress at the takeover have been read."""
         ...
 
-    def holds(self) -> bool:
-        """Return whether the ownership is in force now."""
+    def knows(self, id: str) -> bool | None:
+        """Return whether a job exists, ``None`` while the owner can't tell."""
         ...
 
     @property
--- a/rhubarbferry/cell/owner_client.py
+++ b/rhubarbferry/cell/owner_client.py
@@ -77,9 +77,7 @@
         """Return whether the owner knows a job, ``None`` if it can't tell."""
         term = self.term()
         if term is not None:
-            if not term.loaded or not term.holds():
-                return None
-            return term.status(id) is not None
+            return term.knows(id)
         ownership = self.view.ownership
         if ownership is None or ownership.owner.name == self.own.name:
             return None
--- a/rhubarbferry/cell/peer_server.py
+++ b/rhubarbferry/cell/peer_server.py
@@ -122,7 +122,7 @@
         status = term.status(req.job)
         load = _load(term, req.known_load)
         if status is None:
-            loaded = req.known_load is not None and term.loaded and term.holds()
+            loaded = req.known_load is not None and term.knows(req.job) is False
             return OwnedPhaseReply(load=load, loaded=loaded or None)
         return OwnedPhaseReply(phase=status.phase.value, account=status.account, load=load)
 
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -115,10 +115,6 @@
         """Whether all jobs in progress at the takeover have been read."""
         return self._job_watcher.loaded
 
-    def holds(self) -> bool:
-        """Return whether the ownership is in force now."""
-        return self.tenure.holds()
-
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or ``None`` if unknown."""
         if not self.tenure.holds() or not self.loaded:
@@ -139,6 +135,12 @@
             return dispatcher.ended.get(id)
         return evolve(job.status, phase=JobPhase.RUNNING) if job.phase.final else job.status
 
+    def knows(self, id: str) -> bool | None:
+        """Return whether a job exists, ``None`` while this process can't tell."""
+        if not self.tenure.holds() or not self.loaded:
+            return None
+        return self.status(id) is not None
+
     def add_accepted(self, job: AcceptedJob) -> bool:
         """Add a job that was accepted under this ownership.
 
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -90,8 +90,8 @@
     jobs: dict[str, JobStatus] = Factory(dict)
     loaded: bool = True
 
-    def holds(self) -> bool:
-        return True
+    def knows(self, id: str) -> bool | None:
+        return id in self.jobs if self.loaded else None
 
     def status(self, id: str) -> JobStatus | None:
         return self.jobs.get(id)
