Restore all occurrences of a scheduled job that have begun

Cause: the stored state lists only steps with progress. The new owner created those and set the number of the next occurrence behind the highest of them. Ruled out: a lost end (that occurrence never ended), a job that was not read, a stop by the former owner.

Now all occurrences up to the highest recorded one are created, and the number of the next one is the count of those that exist, so that the two can't disagree.

--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -198,6 +198,8 @@
             revision=kv.mod_revision,
             inherited=inherited,
             tasks=[step.count for step in job.req.steps],
+            times=job.req.times or None,
+            occurrences=len(job.occurrences) if job.req.times else None,
             objective_s=round(job.objective_s, 3),
             outcome=job.phase.value,
         )
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -237,7 +237,6 @@
     first_attempt: int = 1
     phase: JobPhase = JobPhase.QUEUED
     occurrences: dict[int, Occurrence] = Factory(dict)
-    next_occurrence: int = 0
     started: bool = False
     critical_paths: tuple[float, ...] = field(init=False)
 
@@ -286,15 +285,31 @@
         self.occurrences[number] = occurrence
         return occurrence
 
-    def create_due_occurrences(self, now: float, wall_s: float) -> None:
-        """Create the occurrences of a repeated job that are due."""
+    @property
+    def next_occurrence(self) -> int:
+        """Number of the next occurrence to create; all earlier ones exist."""
+        return len(self.occurrences)
+
+    def create_due_occurrences(self, now: float, wall_s: float) -> list[Occurrence]:
+        """Create the occurrences of a repeated job that are due, and return them."""
+        created = []
         while self.next_occurrence < self.req.times:
             number = self.next_occurrence
             if wall_s < self.req.start_at_s + number * self.req.interval_s:
-                return
-            self.next_occurrence += 1
-            if number not in self.occurrences:
-                self.add_occurrence(number, now)
+                break
+            created.append(self.add_occurrence(number, now))
+        return created
+
+    def create_occurrences_through(self, number: int, now: float) -> list[Occurrence]:
+        """Create an occurrence that an earlier owner has begun, and all before it; return them.
+
+        Occurrences overlap, so an earlier one may have begun and still have no progress on record.
+
+        :raises ValueError: if the job has no occurrence of that number.
+        """
+        if not 0 <= number < max(1, self.req.times):
+            raise ValueError(f"job {self.id} has no occurrence {number}")
+        return [self.add_occurrence(each, now) for each in range(self.next_occurrence, number + 1)]
 
     def take_ready_steps(self, now: float) -> list[Step]:
         """Mark the steps whose preceding steps are all done as ready, and return the new ones."""
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -149,9 +149,7 @@
     try:
         for name, fields in json.loads(value).get("steps", {}).items():
             number, index = (int(part) for part in name.split("."))
-            if number not in job.occurrences:
-                job.add_occurrence(number, now)
-                job.next_occurrence = max(job.next_occurrence, number + 1)
+            job.create_occurrences_through(number, now)
             _restore_step(job.occurrences[number].steps[index], fields)
     except (KeyError, IndexError, TypeError, ValueError) as exc:
         raise RecordError(f"the value is not a valid state of job {job.id}: {exc!r}") from exc
