Take a run of a scheduled job for known before it is due by this owner's clock

An owner creates an occurrence when it is due by its own clock, and clocks differ by seconds. After a change of the owner a host could therefore report a run or an end of an occurrence that the new owner did not have: the run was stopped as unknown, and the end was passed over and acknowledged, after which the task ran again.

Ruled out: recording the number of occurrences with the state. An occurrence may be started before that record is written, so a new owner would have to follow the reports of the hosts all the same.

A report of an occurrence that the client has asked for now creates it and all before it. While hosts have not answered a new owner yet, its tasks count against the quota of their account like the other tasks of the job.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -285,7 +285,8 @@
         orders: list[Order] = []
         self._review_hosts(now)
         for job in list(self._repeated_jobs.values()):
-            job.create_due_occurrences(now, wall_s)
+            created = job.create_due_occurrences(now, wall_s)
+            self.quotas.extend_assumption(job, created)
             self._queue_ready_steps(job, now)
         self._release_overdue_reservations(now)
         self.waiting.reorder(now)
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -300,15 +300,15 @@
             created.append(self.add_occurrence(number, now))
         return created
 
+    def has_occurrence(self, number: int) -> bool:
+        """Return whether the client has asked for an occurrence, due or not."""
+        return 0 <= number < max(1, self.req.times)
+
     def create_occurrences_through(self, number: int, now: float) -> list[Occurrence]:
         """Create an occurrence that an earlier owner has begun, and all before it; return them.
 
         Occurrences overlap, so an earlier one may have begun and still have no progress on record.
-
-        :raises ValueError: if the job has no occurrence of that number.
         """
-        if not 0 <= number < max(1, self.req.times):
-            raise ValueError(f"job {self.id} has no occurrence {number}")
         return [self.add_occurrence(each, now) for each in range(self.next_occurrence, number + 1)]
 
     def take_ready_steps(self, now: float) -> list[Step]:
--- a/rhubarbferry/dispatch/quotas.py
+++ b/rhubarbferry/dispatch/quotas.py
@@ -8,7 +8,7 @@
 
 from attrs import Factory, define
 
-from rhubarbferry.dispatch.job import Job, Run, Step
+from rhubarbferry.dispatch.job import Job, Occurrence, Run, Step
 from rhubarbferry.dispatch.messages import Account, Sizes, TaskId
 
 NOTHING = Sizes()
@@ -112,16 +112,22 @@
 
     def assume_running(self, job: Job) -> None:
         """Count all unfinished tasks of an inherited job as running."""
-        if not job.account_name:
+        if job.account_name:
+            self._assumed[job.id] = _AssumedRuns(account=job.account_name, tasks={})
+            self.extend_assumption(job, job.occurrences.values())
+
+    def extend_assumption(self, job: Job, occurrences: Iterable[Occurrence]) -> None:
+        """Count the unfinished tasks of new occurrences as running if those of the others are."""
+        assumed = self._assumed.get(job.id)
+        if assumed is None:
             return
-        tasks = {
-            task.id: step.req.sizes for step in job.steps() for task in step.tasks if not task.done
-        }
-        self._assumed[job.id] = _AssumedRuns(account=job.account_name, tasks=tasks)
-        total = self._assumed_totals.get(job.account_name, NOTHING)
-        for size in tasks.values():
-            total = total.plus(size)
-        self._assumed_totals[job.account_name] = total
+        total = self._assumed_totals.get(assumed.account, NOTHING)
+        for step in (step for occurrence in occurrences for step in occurrence.steps):
+            for task in step.tasks:
+                if not task.done:
+                    assumed.tasks[task.id] = step.req.sizes
+                    total = total.plus(step.req.sizes)
+        self._assumed_totals[assumed.account] = total
 
     def _drop_assumed(self, assumed: _AssumedRuns, tasks: Iterable[TaskId]) -> None:
         """Stop counting tasks as running; those that are not counted any more are ignored."""
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -149,6 +149,8 @@
     try:
         for name, fields in json.loads(value).get("steps", {}).items():
             number, index = (int(part) for part in name.split("."))
+            if not job.has_occurrence(number):
+                raise ValueError(f"there is no occurrence {number}")
             job.create_occurrences_through(number, now)
             _restore_step(job.occurrences[number].steps[index], fields)
     except (KeyError, IndexError, TypeError, ValueError) as exc:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -235,7 +235,7 @@
         for ended in report.ended:
             if ended.number > host.seen_end:
                 host.seen_end = ended.number
-                events += self._handle_end(host, ended)
+                events += self._handle_end(host, ended, now)
         listed = {(running.task, running.attempt) for running in report.running}
         host.unknown_runs = {key: at for key, at in host.unknown_runs.items() if key in listed}
         for running in report.running:
@@ -246,11 +246,11 @@
             events += self._end_unlisted(host, report, listed, now)
         return events
 
-    def _handle_end(self, host: Host, ended: EndedTask) -> list[RunEvent]:
+    def _handle_end(self, host: Host, ended: EndedTask, now: float) -> list[RunEvent]:
         run = host.runs.get((ended.task, ended.attempt))
         if run is not None:
             return [self._end_run(host, run, ended.how, "", checkpoint=ended.checkpoint)]
-        task = self.task(ended.task)
+        task = self._reported_task(ended.task, now)
         if task is None:
             return []
         if ended.checkpoint and not task.done:
@@ -284,7 +284,7 @@
         self, host: Host, running: RunningTask, report: HostReport, now: float
     ) -> list[RunEvent]:
         """Adopt a run that an earlier owner started, or whose order was carried out late."""
-        task = self.task(running.task)
+        task = self._reported_task(running.task, now)
         if task is None:
             self._stop_unknown_run(host, running, now)
             return []
@@ -327,6 +327,17 @@
             task.checkpoint = running.checkpoint
         return events
 
+    def _reported_task(self, id: TaskId, now: float) -> Task | None:
+        """Return the task of a run that a host reports, ``None`` if it is unknown.
+
+        An earlier owner may have begun an occurrence that is not due yet by this owner's clock.
+        """
+        job = self.jobs.get(id.job)
+        if job is not None and job.has_occurrence(id.occurrence):
+            created = job.create_occurrences_through(id.occurrence, now)
+            self.quotas.extend_assumption(job, created)
+        return self.task(id)
+
     def _stop_unknown_run(self, host: Host, running: RunningTask, now: float) -> None:
         key = (running.task, running.attempt)
         if now - host.unknown_runs.get(key, -math.inf) < STOP_RETRY_INTERVAL_S:
--- a/tests/dispatch/test_scheduled_jobs.py
+++ b/tests/dispatch/test_scheduled_jobs.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from rhubarbferry.dispatch.job import Job, JobPhase
-from rhubarbferry.dispatch.messages import JobRequest, StartOrder
+from rhubarbferry.dispatch.messages import (
+    Account,
+    JobRequest,
+    RunningTask,
+    Sizes,
+    StartOrder,
+    StopOrder,
+    TaskId,
+)
 from rhubarbferry.dispatch.record import RecordError, encode_state, restore_state
 
-from .world import QUEUE, World, entry, step
+from .world import CORES, QUEUE, World, entry, step
 
 TIMES = 3
 INTERVAL_S = 0.5
@@ -24,8 +33,8 @@
 )
 
 
-def scheduled(**fields) -> Job:
-    return Job(req=REQUEST, queue=QUEUE, arrived_at=10.0, record_revision=1, **fields)
+def scheduled(*, req: JobRequest = REQUEST, **fields) -> Job:
+    return Job(req=req, queue=QUEUE, arrived_at=10.0, record_revision=1, **fields)
 
 
 def start_occurrences(world: World, number: int) -> list[StartOrder]:
@@ -44,10 +53,14 @@
     return orders
 
 
-def take_over(before: World) -> World:
-    """Return the world of a new owner: it has the stored state, and no host has reported yet."""
+def take_over(before: World, *, clock_error_s: float = 0.0) -> World:
+    """Return the world of a new owner: it has the stored state, and no host has reported yet.
+
+    :param clock_error_s: error of the new owner's time of day.
+    """
     world = World(roster=("a",))
     world.now = before.now
+    world.clock_error_s = clock_error_s
     world.hosts = before.hosts
     world.dispatcher.host_listed(entry("a"), now=world.now)
     inherited = scheduled(inherited=True, first_attempt=FENCE)
@@ -101,6 +114,50 @@
     assert [order.task.occurrence for order in after.starts(0.1)] == [0, 1]
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_an_occurrence_that_a_host_reports_is_known_before_it_is_due(ended):
+    """Guards against a task that runs again since the new owner's clock is behind."""
+    before = World("a")
+    orders = start_occurrences(before, 2)
+    host = before.hosts["a"]
+    after = take_over(before, clock_error_s=-2 * INTERVAL_S)
+    if ended:
+        host.end(orders[1])
+    after.deliver_reports()
+    assert after.decide(0.1) == []
+    assert len(host.running) == 1 if ended else 2
+    end_runs(after, 3.0)
+    assert after.dispatcher.jobs["j"].phase is JobPhase.COMPLETE
+    assert [end.task.occurrence for end in host.ended].count(1) == 1
+    assert host.end_count == TIMES
+
+
+def test_an_occurrence_that_a_host_reports_counts_against_the_quota():
+    """Guards against exceeding a quota while a host that may run its other tasks is silent."""
+    world = World("a", roster=("a", "silent"))
+    account = Account(name="lanna", quota=Sizes(millicores=4 * CORES))
+    req = evolve(REQUEST, steps=(step(2),), start_at_s=world.now + 60.0)
+    world.add(scheduled(req=req, account=account, inherited=True, first_attempt=FENCE))
+    assert world.dispatcher.quotas.used("lanna") == Sizes()
+    running = TaskId(job="j", occurrence=1, step=0, index=0)
+    world.hosts["a"].running[(running, 1)] = RunningTask(task=running, attempt=1)
+    world.deliver_reports()
+    assert world.dispatcher.quotas.used("lanna").millicores == 4 * CORES
+
+
+def test_a_report_of_an_occurrence_beyond_the_last_one_is_not_followed():
+    """Guards against occurrences that no client has asked for."""
+    world = World("a")
+    world.add(scheduled())
+    unknown = TaskId(job="j", occurrence=TIMES, step=0, index=0)
+    world.hosts["a"].running[(unknown, 1)] = RunningTask(task=unknown, attempt=1)
+    world.now += 0.1
+    world.deliver_reports()
+    stops = [order for order in world.decide() if isinstance(order, StopOrder)]
+    assert [order.task for order in stops] == [unknown]
+    assert set(world.dispatcher.jobs["j"].occurrences) == {0}
+
+
 def test_a_state_with_an_occurrence_beyond_the_last_one_is_refused():
     state = b'{"phase":"running","steps":{"%d.0":{"done":"1"}}}' % TIMES
     with pytest.raises(RecordError, match="occurrence"):
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -96,10 +96,14 @@
 
 
 class World:
-    """A dispatcher, its hosts, and a clock that the test advances."""
+    """A dispatcher, its hosts, and a clock that the test advances.
+
+    :ivar clock_error_s: error of the owner's time of day.
+    """
 
     def __init__(self, *hosts: str, roster: tuple[str, ...] = (), **fields) -> None:
         self.now = 10.0
+        self.clock_error_s = 0.0
         self.dispatcher = Dispatcher(
             takeover=Takeover(
                 unconfirmed={
@@ -114,6 +118,10 @@
         for id in hosts:
             self.add_host(id, **fields)
 
+    @property
+    def wall_s(self) -> float:
+        return self.now + self.clock_error_s
+
     def add_host(self, id: str, **fields) -> SimulatedHost:
         self.hosts[id] = SimulatedHost(id=id)
         self.dispatcher.host_listed(entry(id, **fields), now=self.now)
@@ -131,12 +139,12 @@
             )
 
     def add(self, item: Job) -> Job:
-        self.dispatcher.add_job(item, now=self.now, wall_s=self.now)
+        self.dispatcher.add_job(item, now=self.now, wall_s=self.wall_s)
         return item
 
     def decide(self, seconds: float = 0.0, **limits) -> list[Order]:
         self.now += seconds
-        return self.dispatcher.decide(now=self.now, wall_s=self.now, **limits)
+        return self.dispatcher.decide(now=self.now, wall_s=self.wall_s, **limits)
 
     def starts(self, seconds: float = 0.0) -> list[StartOrder]:
         return [order for order in self.decide(seconds) if isinstance(order, StartOrder)]
