--- a/tests/dispatch/host_model.py
+++ b/tests/dispatch/host_model.py
@@ -88,7 +88,10 @@
             raise InvariantViolated(f"{task} starts after {len(failed)} failures")
         for before in req.after:
             count = self.steps[task.job][before].count
-            members = {task_of(task.job, before, index) for index in range(count)}
+            members = {
+                task_of(task.job, before, index, occurrence=task.occurrence)
+                for index in range(count)
+            }
             gang = self.steps[task.job][before].gang
             if not (members & self.done if gang else members <= self.done):
                 raise InvariantViolated(f"{task} starts before step {before} is done")
@@ -130,8 +133,8 @@
             self.acknowledged_failed.setdefault(ended.task, set()).add(ended.attempt)
 
 
-def task_of(job: str, step: int, index: int) -> TaskId:
-    return TaskId(job=job, occurrence=0, step=step, index=index)
+def task_of(job: str, step: int, index: int, *, occurrence: int = 0) -> TaskId:
+    return TaskId(job=job, occurrence=occurrence, step=step, index=index)
 
 
 @define
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -125,7 +125,7 @@
         req = JobRequest(id=f"j{self.count}", queue=queue.name, payload="", steps=steps)
         self.oracle.steps[req.id] = steps
         self.records[req.id] = (req, queue, None, self.fence)
-        self.dispatcher.add_job(self.job(req, queue), now=self.now, wall_s=self.now)
+        self.dispatcher.add_job(self.job(req, queue), now=self.now, wall_s=self.wall_s)
 
     @rule(ticks=st.sampled_from([1, 2, 4, 8, 16, 30]))
     def advance(self, ticks):
@@ -208,12 +208,18 @@
         for req, queue, state, _ in list(self.records.values()):
             job = self.job(req, queue, inherited=True)
             if state is not None:
-                job.add_occurrence(0, self.now)
+                if not req.times:
+                    job.add_occurrence(0, self.now)
                 restore_state(job, state, now=self.now)
-            self.dispatcher.add_job(job, now=self.now, wall_s=self.now)
+            self.dispatcher.add_job(job, now=self.now, wall_s=self.wall_s)
 
     # ------------------------------------------------------------ helpers
 
+    @property
+    def wall_s(self) -> float:
+        """The owner's time of day."""
+        return self.now
+
     def open_rounds(self) -> float:
         """Return how often all hosts must be filled to run the steps of all open jobs once."""
         return sum(rounds(step) for req, *_ in self.records.values() for step in req.steps)
@@ -244,7 +250,7 @@
         self.ticks += 1
         if self.ticks % HOST_LIST_INTERVAL_TICKS == 0:
             self.read_host_list()
-        for order in self.dispatcher.decide(now=self.now, wall_s=self.now):
+        for order in self.dispatcher.decide(now=self.now, wall_s=self.wall_s):
             self.send(order)
         self.dispatcher.run_events.clear()
 
