Keep a job that is recorded as running out of the pending ones after a takeover

A new owner inferred from the progress of the steps whether a job had started, although the state says so itself. A job whose first tasks were still running was counted as pending again until a host reported them, and for as long as it waited if its host was lost; GET showed it as running meanwhile.

A job has started when it is not queued any more: the flag beside the phase and that of the step, which nothing else read, are gone.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -142,9 +142,6 @@
         if job.inherited:
             self._unresolved_jobs[job.id] = job
             self.quotas.assume_running(job)
-        for step in job.steps():
-            if step.done_count or step.ever_started:
-                job.started = True
         self._queue_ready_steps(job, now)
         self._finish_if_done(job)
 
@@ -607,11 +604,7 @@
         self.waiting.discard(step)
 
     def _mark_started(self, job: Job) -> None:
-        if job.started or job.phase.final:
-            return
-        job.started = True
-        if job.phase is not JobPhase.RUNNING:
-            # An inherited job that runs is on record as running already.
+        if not job.started:
             job.phase = JobPhase.RUNNING
             self._mark_dirty(job)
 
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -169,7 +169,6 @@
     failed_attempts: set[int] = Factory(set)
     ready_at: float | None = None
     done_count: int = 0
-    ever_started: bool = False
     ever_blocked: bool = False
     approvals: StepApprovals = Factory(StepApprovals)
 
@@ -225,7 +224,6 @@
     :param inherited: whether it was accepted before the current owner took over, so that an earlier
         owner may have started any of its tasks.
     :param first_attempt: lowest attempt number that no earlier owner can have used.
-    :ivar started: whether a host has confirmed a run of one of its tasks.
     """
 
     req: JobRequest
@@ -237,7 +235,6 @@
     first_attempt: int = 1
     phase: JobPhase = JobPhase.QUEUED
     occurrences: dict[int, Occurrence] = Factory(dict)
-    started: bool = False
     critical_paths: tuple[float, ...] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -248,6 +245,11 @@
         """Name of the account that submitted it; empty for none."""
         return self.account.name if self.account is not None else ""
 
+    @property
+    def started(self) -> bool:
+        """Whether a host has confirmed a run of one of its tasks, or the job has ended."""
+        return self.phase is not JobPhase.QUEUED
+
     @property
     def status(self) -> JobStatus:
         """Its current status."""
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -168,4 +168,3 @@
         task.failed_attempts = {int(attempt) for attempt in failed.get(key, ())}
         task.checkpoint = str(saved.get(key, ""))
     step.done_count = sum(task.done for task in step.tasks)
-    step.ever_started = bool(done or failed or saved or step.failed_attempts)
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -92,7 +92,6 @@
     run.deadline_s = host.clock.estimate(now) + START_VALIDITY_S
     host.leases_until_s = max(host.leases_until_s, run.deadline_s)
     task.attempt = run.attempt
-    task.step.ever_started = True
     run.order = StartOrder(
         host=host.id,
         incarnation=host.entry.incarnation,
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -302,7 +302,6 @@
         )
         host.add(run)
         task.attempt = max(task.attempt, running.attempt)
-        task.step.ever_started = True
         found = RunFound(
             task=task,
             attempt=run.attempt,
--- a/tests/dispatch/test_pending.py
+++ b/tests/dispatch/test_pending.py
@@ -83,3 +83,13 @@
     world.deliver_reports()
     assert pending(world) == 0
     assert not world.dispatcher.dirty
+
+
+def test_a_job_recorded_as_running_is_not_pending_under_a_new_owner():
+    """Guards against a started job that is counted as pending since its run is lost."""
+    world = World("a")
+    inherited = job("j", step(), inherited=True)
+    inherited.phase = JobPhase.RUNNING
+    world.add(inherited)
+    world.deliver_reports()
+    assert pending(world) == 0
