Restore when the occurrences of a scheduled job were due

After a change of the owner each occurrence counted as due at the takeover, so late ones were ordered behind jobs that can meet their objective. The time is known from the schedule, within the error of the clock; as for the age of a job, a large or negative age is not believed. One of the three cases of the test failed before; the other two hold that a wrong clock changes nothing.

--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -10,7 +10,7 @@
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.prefix_watch import PrefixWatcher
 from rhubarbferry.cell.term_context import OwnershipLost, TermContext
-from rhubarbferry.dispatch.job import Job
+from rhubarbferry.dispatch.job import MAX_JOB_AGE_S, Job
 from rhubarbferry.dispatch.record import (
     JobRecord,
     RecordError,
@@ -40,8 +40,6 @@
 # one go on a slow processor would delay ping replies and lease renewals until another process takes
 # over, which would then read the same backlog.
 JOBS_PER_TURN = 4
-# A larger age means that a clock is wrong or that the record has no acceptance time.
-MAX_JOB_AGE_S = 300.0
 
 
 @define(kw_only=True, eq=False)
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -22,6 +22,9 @@
 # From this progress on, the remaining time of a run is extrapolated from its progress; below it,
 # the estimate of the client is used.
 MIN_EXTRAPOLATION_PERCENT = 10.0
+# A larger age of a restored job or occurrence means that a clock is wrong or that its start is not
+# known.
+MAX_JOB_AGE_S = 300.0
 
 
 class JobPhase(StrEnum):
@@ -313,6 +316,16 @@
         """
         return [self.add_occurrence(each, now) for each in range(self.next_occurrence, number + 1)]
 
+    def restore_due_times(self, now: float, wall_s: float) -> None:
+        """Set when the occurrences of a repeated job were due, after an earlier owner began them.
+
+        :param wall_s: Unix time; an inaccurate clock changes the order of jobs only slightly.
+        """
+        for occurrence in self.occurrences.values():
+            age_s = wall_s - (self.req.start_at_s + occurrence.number * self.req.interval_s)
+            if 0.0 < age_s < MAX_JOB_AGE_S:
+                occurrence.due_at = now - age_s
+
     def take_ready_steps(self, now: float) -> list[Step]:
         """Mark the steps whose preceding steps are all done as ready, and return the new ones."""
         ready = []
--- a/tests/dispatch/test_scheduled_jobs.py
+++ b/tests/dispatch/test_scheduled_jobs.py
@@ -114,6 +114,19 @@
     assert [order.task.occurrence for order in after.starts(0.1)] == [0, 1]
 
 
+@pytest.mark.parametrize(("clock_error_s", "due_at"), [(0.0, 10.0), (-60.0, 11.0), (600.0, 11.0)])
+def test_an_occurrence_keeps_its_due_time_unless_a_clock_is_wrong(clock_error_s, due_at):
+    """Guards against late occurrences being ordered behind jobs that can meet their objective."""
+    before = World("a")
+    start_occurrences(before, 2)
+    before.hosts["a"].end(next(iter(before.hosts["a"].running.values())))
+    before.now += 0.1
+    before.deliver_reports()
+    before.now = 11.0
+    after = take_over(before, clock_error_s=clock_error_s)
+    assert after.dispatcher.jobs["j"].occurrences[0].due_at == pytest.approx(due_at)
+
+
 @pytest.mark.parametrize("ended", [False, True])
 def test_an_occurrence_that_a_host_reports_is_known_before_it_is_due(ended):
     """Guards against a task that runs again since the new owner's clock is behind."""
