Skip a host entry that can't be decoded, whatever is wrong with it

Each process in turn became the owner and ended its term.

Cause: the decoder named the exceptions that it expects; int() of an infinite number raises OverflowError, which passed through the reading of the host list and ended the term, as the trace in each owner's log says. 1e999 and a deeply nested value did the same. Ruled out: the store and the hosts, which answered, and room, which no term came to look at.

The decoder now reads each field with its type and range, in a module for documents of other writers, and any error of decoding skips this entry alone. An address or an id that can't be used in a call is refused too, as it raised in the poll of that host.

--- a/rhubarbferry/platform/directory.py
+++ b/rhubarbferry/platform/directory.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
-import json
+import ipaddress
 from typing import Any
 
 from loguru import logger
 
 from rhubarbferry.dispatch.messages import HostEntry, HostPhase, Sizes
+from rhubarbferry.platform.documents import (
+    DECODE_ERRORS,
+    InvalidDocument,
+    decode_json,
+    read_list,
+    read_number,
+    read_size,
+    read_text,
+)
 from rhubarbferry.ports.store import KeyValue, TxnStore
 
 HOSTS_PREFIX = "servers/"
@@ -24,60 +33,62 @@
         """Return the hosts that are currently registered."""
         listing = await self._store.list(HOSTS_PREFIX)
         entries = [self._decode_item(item) for item in listing.items]
+        self._logged_ids &= {_host_id(item) for item in listing.items}
         return tuple(entry for entry in entries if entry is not None)
 
     def _decode_item(self, item: KeyValue) -> HostEntry | None:
-        id = item.key.removeprefix(HOSTS_PREFIX)
+        id = _host_id(item)
         try:
-            return decode_entry(id, json.loads(item.value))
-        except (ValueError, TypeError, KeyError, AttributeError) as exc:
+            return decode_entry(id, decode_json(item.value))
+        except DECODE_ERRORS as exc:
             if id not in self._logged_ids:
                 self._logged_ids.add(id)
-                logger.warning("skipping the invalid host entry {}: {!r}", id, exc)
+                logger.warning("skipping the invalid host entry {!r}: {!r:.300}", id, exc)
             return None
 
 
+def _host_id(item: KeyValue) -> str:
+    return item.key.removeprefix(HOSTS_PREFIX)
+
+
 def decode_entry(id: str, body: Any) -> HostEntry:
     """Decode one registration.
 
     :raises ValueError: when a field has an invalid type or value.
-    :raises KeyError: when a required field is missing.
+    :raises LookupError: when a required field is missing.
     :raises TypeError: when an object was expected and another type was found.
     :raises AttributeError: when the registration is not an object.
     """
     capacity = body["capacity"]
     remaining_ms = body.get("remainingMs")
     return HostEntry(
-        id=id,
-        incarnation=_parse_integer(body.get("born", 0)),
-        service=_parse_string(body["service"]),
+        id=_parse_id(id),
+        incarnation=read_size(body.get("born", 0)),
+        service=read_text(body["service"]),
         address=_parse_address(body["addr"]),
-        failure_domain=_parse_string(body["zone"]),
-        phase=HostPhase(_parse_string(body["state"])),
+        failure_domain=read_text(body["zone"]),
+        phase=HostPhase(read_text(body["state"])),
         capacity=Sizes(
-            millicores=_parse_integer(capacity["cpu"]),
-            memory_mb=_parse_integer(capacity["memMb"]),
-            accelerators=_parse_integer(capacity.get("gpu", 0)),
+            millicores=read_size(capacity["cpu"]),
+            memory_mb=read_size(capacity["memMb"]),
+            accelerators=read_size(capacity.get("gpu", 0)),
         ),
-        labels=tuple(_parse_string(label) for label in body.get("labels", [])),
-        remaining_s=None if remaining_ms is None else float(remaining_ms) / 1000,
+        labels=tuple(read_text(label) for label in read_list(body.get("labels", []))),
+        remaining_s=None if remaining_ms is None else read_number(remaining_ms) / 1000,
     )
 
 
-def _parse_string(value: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"not a string: {value!r}")
-    return value
-
-
-def _parse_integer(value: Any) -> int:
-    if not isinstance(value, (int, float)) or isinstance(value, bool) or value != int(value):
-        raise ValueError(f"not an integer: {value!r}")
-    return int(value)
+def _parse_id(id: str) -> str:
+    # Calls to the host carry its id in a header.
+    if not id or not id.isascii() or not id.isprintable():
+        raise InvalidDocument("not an id of printable ASCII characters")
+    return id
 
 
 def _parse_address(value: Any) -> str:
-    host, _, port = _parse_string(value).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"not an ip:port address: {value!r}")
-    return value
+    address = read_text(value)
+    ip, _, port = address.rpartition(":")
+    ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
+    if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 1 << 16:
+        raise InvalidDocument(f"not an ip:port address: {address!r:.100}")
+    return address
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -8,7 +8,9 @@
 import aiohttp
 import pytest
 
+from rhubarbferry.cell.term import HOST_LIST_INTERVAL_S
 from rhubarbferry.management.app import run_command
+from rhubarbferry.test.store_engine import Put
 
 from .cell_harness import CellHarness, configuration, step
 
@@ -86,6 +88,24 @@
     assert await harness.submit(member, ids(1)[0]) == 200
 
 
+@pytest.mark.parametrize("cpu", ["Infinity", "1e999", "[" * 100_000])
+async def test_an_invalid_host_entry_does_not_end_the_term_of_the_owner(harness, cpu):
+    """Guards against a cell in which no task starts because of one entry of another writer."""
+    fence = harness.store.engine.get("cell/control/owner").kv.mod_revision
+    value = (
+        f'{{"service":"pool","addr":"127.0.0.1:9","zone":"z","state":"ready",'
+        f'"capacity":{{"cpu":{cpu},"memMb":1}}}}'
+    )
+    harness.store.engine.txn([], [Put(key="servers/other", value=value.encode())])
+    await asyncio.sleep(2 * HOST_LIST_INTERVAL_S)
+    for id in ids(3):
+        assert await harness.submit(harness.members["one"], id) == 200
+    for id in ids(3):
+        await harness.wait_for_state(harness.members["two"], id, "complete", within_s=5.0)
+    assert harness.store.engine.get("cell/control/owner").kv.mod_revision == fence
+    harness.assert_nothing_twice()
+
+
 async def test_jobs_continue_after_their_owner_is_killed(harness):
     """Guards against jobs that stall or run twice after their owner was killed."""
     for worker in harness.workers.values():
--- a/tests/on_platform/test_decoding.py
+++ b/tests/on_platform/test_decoding.py
@@ -6,11 +6,14 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from rhubarbferry.cell.routes import Limits
 from rhubarbferry.dispatch.messages import HostPhase, Sizes, StepId, TaskId
 from rhubarbferry.platform.configuration import ConfigurationError, decode_configuration
 from rhubarbferry.platform.directory import PlatformDirectory, decode_entry
+from rhubarbferry.platform.documents import MAX_INTEGER
 from rhubarbferry.platform.job_forms import (
     MAX_PAYLOAD_BYTES,
     MAX_STEPS,
@@ -133,9 +136,35 @@
     assert (entry.failure_domain, entry.labels) == ("cm-doi", ("a", "r1-3"))
 
 
+def entry(**fields: Any) -> bytes:
+    return json.dumps({**ENTRY, **fields}).encode()
+
+
+def entry_with_cpu(literal: str) -> bytes:
+    """Return an entry whose capacity contains a literal that json.dumps would not write."""
+    return entry(capacity={"cpu": "@", "memMb": 1}).replace(b'"@"', literal.encode())
+
+
 INVALID_ENTRIES = {
     "invalid JSON": b"\x00\x01",
+    "invalid UTF-8": b'{"service":"\xff"}',
     "a number": b"7",
+    "a list": b"[]",
+    "deeply nested": b"[" * 100_000,
+    "an infinite size": entry_with_cpu("Infinity"),
+    "a size that is no number": entry_with_cpu("NaN"),
+    "a size beyond the range of floats": entry_with_cpu("1e999"),
+    "a size beyond the range of integers": entry_with_cpu("1e300"),
+    "a size of too many digits": entry_with_cpu("9" * 5000),
+    "a negative size": entry_with_cpu("-1"),
+    "an infinite incarnation": entry().replace(b"1700000000123", b"-Infinity"),
+    "an infinite remaining time": entry().replace(b'"ready"', b'"draining","remainingMs":1e999'),
+    "a remaining time that is a string": entry(remainingMs="2500"),
+    "labels that are a string": entry(labels="ab"),
+    "a label that is no text": entry(labels=["\ud800"]),
+    "an address with a name": entry(addr="localhost:80"),
+    "an address with a port out of range": entry(addr="10.0.0.1:65536"),
+    "an address with other digits": entry(addr="10.0.0.1:\u00b2"),
     "no address": json.dumps({k: v for k, v in ENTRY.items() if k != "addr"}).encode(),
     "an address without a port": json.dumps({**ENTRY, "addr": "10.0.0.1"}).encode(),
     "an unknown state": json.dumps({**ENTRY, "state": "asleep"}).encode(),
@@ -148,10 +177,11 @@
 class _FixedStore:
     """A store that lists fixed values."""
 
-    def __init__(self, *values: bytes) -> None:
+    def __init__(self, *values: bytes, **named: bytes) -> None:
+        values_by_id = {f"i-{index}": value for index, value in enumerate(values)} | named
         self.items = tuple(
-            KeyValue(key=f"servers/i-{index}", value=value, mod_revision=1, create_revision=1)
-            for index, value in enumerate(values)
+            KeyValue(key=f"servers/{id}", value=value, mod_revision=1, create_revision=1)
+            for id, value in values_by_id.items()
         )
 
     async def list(self, prefix: str) -> Listing:
@@ -165,6 +195,39 @@
     assert [entry.id for entry in await directory.hosts()] == ["i-1"]
 
 
+@pytest.mark.parametrize("id", ["", "i\r\nx: y", "i-\u00fc", "i-\ud800"])
+async def test_a_host_entry_with_an_invalid_id_is_skipped(id):
+    """Guards against an id that can't be sent in the header of a call to the host."""
+    directory = PlatformDirectory(store=_FixedStore(**{id: entry(), "i-1": entry()}))
+    assert [entry.id for entry in await directory.hosts()] == ["i-1"]
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+
+
+@given(
+    path=st.sampled_from([(name,) for name in ENTRY] + [("capacity", "cpu"), ("remainingMs",)]),
+    value=JSON_VALUES,
+)
+def test_any_field_of_a_host_entry_may_have_any_value(path, value):
+    """Guards against an exception that ends the term of every owner in turn."""
+    body = json.loads(json.dumps(ENTRY))
+    parent = body if len(path) == 1 else body[path[0]]
+    parent[path[-1]] = value
+    item = KeyValue(
+        key="servers/i-1", value=json.dumps(body).encode(), mod_revision=1, create_revision=1
+    )
+    found = PlatformDirectory(store=_FixedStore())._decode_item(item)
+    if found is not None:
+        sizes = found.capacity
+        numbers = (sizes.millicores, sizes.memory_mb, sizes.accelerators, found.incarnation)
+        assert all(0 <= number <= MAX_INTEGER for number in numbers)
+
+
 # ------------------------------------------------------------------------- configuration
 
 ROUTE = {
