Take an answer that can't be read for no answer, of hosts and of the policy

A host whose report had an infinite number, or a task that is no text, a host whose answer to a stop order had no clock, and an answer of the policy service with a short row each raised an exception that ended the term of the owner, and of the next one. An infinite clock of a host was believed. Found by reading; no caller is known to have seen it.

These documents are now decoded by the same module as host entries; what can't be read is the error that a silent host or service gives, so a start that may have been carried out stays unclear.

--- a/rhubarbferry/platform/http_client.py
+++ b/rhubarbferry/platform/http_client.py
@@ -11,6 +11,8 @@
 import aiohttp
 from attrs import define, frozen
 
+from rhubarbferry.platform.documents import InvalidDocument, decode_json
+
 # Connections are kept open between calls: a new one is billed and takes one more round trip.
 KEEP_ALIVE_TIMEOUT_S = 30.0
 # Allows for one round trip between regions and for a busy host.
@@ -159,7 +161,7 @@
                 return await self._send_with_reconnect(
                     method, url, progress, data=data, params=query, headers=sent_headers
                 )
-        except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError) as exc:
+        except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError, ValueError) as exc:
             elapsed_s = asyncio.get_running_loop().time() - started_at
             failure = f"{method} {url}: {exc!r} after {elapsed_s:.2f} s"
             if progress.connected:
@@ -235,6 +237,6 @@
     if not payload:
         return None
     try:
-        return json.loads(payload)
-    except ValueError:
+        return decode_json(payload)
+    except InvalidDocument:
         return None
--- a/rhubarbferry/platform/policy.py
+++ b/rhubarbferry/platform/policy.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from rhubarbferry.dispatch.messages import Approval, StepId
+from rhubarbferry.platform.documents import DECODE_ERRORS, read_list, read_number, read_text
 from rhubarbferry.platform.http_client import JsonClient, NoAnswer, NotSent
 from rhubarbferry.platform.task_names import step_name
 from rhubarbferry.ports.workers import Approvals, PolicyBusy, WorkerSilent
@@ -36,14 +38,21 @@
             raise PolicyBusy("the policy service has too many questions waiting")
         if response.status != 200 or not isinstance(response.body, dict):
             raise WorkerSilent(f"status {response.status}: {response.body}")
-        return Approvals(
-            approvals=tuple(
-                Approval(host=str(row[0]), ticket=str(row[1]))
-                for row in response.body.get("approved", [])
-            ),
-            valid_s=float(response.body.get("validMs", 0)) / 1000,
-        )
+        try:
+            return _decode_approvals(response.body)
+        except DECODE_ERRORS as exc:
+            raise WorkerSilent(f"invalid answer of the policy service: {exc!r:.300}") from exc
 
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close()
+
+
+def _decode_approvals(body: Mapping[str, Any]) -> Approvals:
+    return Approvals(
+        approvals=tuple(
+            Approval(host=read_text(row[0]), ticket=read_text(row[1]))
+            for row in read_list(body.get("approved", []))
+        ),
+        valid_s=read_number(body.get("validMs", 0)) / 1000,
+    )
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -23,6 +23,14 @@
     StopOrder,
     Unanswered,
 )
+from rhubarbferry.platform.documents import (
+    DECODE_ERRORS,
+    read_integer,
+    read_list,
+    read_number,
+    read_size,
+    read_text,
+)
 from rhubarbferry.platform.http_client import JsonClient, NoAnswer, NotSent, Response, TransferLimit
 from rhubarbferry.platform.order_connections import OrderConnections
 from rhubarbferry.platform.task_names import parse_task, task_name
@@ -130,7 +138,10 @@
         )
         if response.status != 200 or not isinstance(response.body, dict):
             raise _error_for(response)
-        return float(response.body["clockMs"]) / 1000
+        try:
+            return read_number(response.body["clockMs"]) / 1000
+        except DECODE_ERRORS as exc:
+            raise WorkerSilent(f"invalid answer to a stop order: {exc!r:.300}") from exc
 
     async def pace(self, host: HostEntry, order: PaceOrder, *, fence: int) -> None:
         """Limit a task to a percentage of its full speed."""
@@ -192,9 +203,10 @@
     body = response.body if isinstance(response.body, dict) else {}
     match response.status:
         case 200:
-            if "clockMs" not in body:
-                return Unanswered(detail="a success that can't be read")
-            return Started(clock_s=float(body["clockMs"]) / 1000)
+            try:
+                return Started(clock_s=read_number(body["clockMs"]) / 1000)
+            except DECODE_ERRORS as exc:
+                return Unanswered(detail=f"a success that can't be read: {exc!r:.300}")
         case 409:
             reason = REFUSAL_REASONS.get(str(body.get("reason")))
             if reason is None:
@@ -223,34 +235,34 @@
 def _tail_latency_ms(row: list[Any]) -> float:
     # For a long-running task, which serves requests, the field is the tail latency of the last half
     # second in milliseconds. For any other task it is the CPU usage, which pacing ignores.
-    return float(row[4]) if len(row) > 4 else 0.0
+    return read_number(row[4]) if len(row) > 4 else 0.0
 
 
 def _decode_report(body: dict[str, Any], host: HostEntry) -> HostReport:
     try:
         return HostReport(
-            clock_s=float(body["clockMs"]) / 1000,
-            incarnation=int(body.get("born", host.incarnation)),
+            clock_s=read_number(body["clockMs"]) / 1000,
+            incarnation=read_size(body.get("born", host.incarnation)),
             running=tuple(
                 RunningTask(
-                    task=parse_task(row[0]),
-                    attempt=int(row[1]),
-                    checkpoint=str(row[2] or ""),
-                    percent=float(row[3]),
+                    task=parse_task(read_text(row[0])),
+                    attempt=read_integer(row[1]),
+                    checkpoint=read_text(row[2] or ""),
+                    percent=read_number(row[3]),
                     tail_latency_s=_tail_latency_ms(row) / 1000,
                 )
-                for row in body.get("active", [])
+                for row in read_list(body.get("active", []))
             ),
             ended=tuple(
                 EndedTask(
-                    number=int(row[0]),
-                    task=parse_task(row[1]),
-                    attempt=int(row[2]),
-                    how=END_KINDS[row[3]],
-                    checkpoint=str(row[4] or ""),
+                    number=read_integer(row[0]),
+                    task=parse_task(read_text(row[1])),
+                    attempt=read_integer(row[2]),
+                    how=END_KINDS[read_text(row[3])],
+                    checkpoint=read_text(row[4] or ""),
                 )
-                for row in body.get("finished", [])
+                for row in read_list(body.get("finished", []))
             ),
         )
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise WorkerSilent(f"invalid host report: {exc!r}") from exc
+    except DECODE_ERRORS as exc:
+        raise WorkerSilent(f"invalid host report: {exc!r:.300}") from exc
