Reject jobs whose numbers or number of occurrences can't be scheduled

A job with "times":1e300 and an interval of 0 was accepted, and each owner in turn created its occurrences without end: jobs of other clients never started, and their states could not be read (three real processes; the test failed before). NaN and infinite estimates, starts and intervals were accepted too, an infinite size and a text that can't be encoded were answered with 500. Three processes went on with other jobs after those.

All numbers of a job now have to lie between 0 and 2^53, and the tasks of all occurrences count for the limit of 20,000 tasks, as they are kept until the job has ended. Ruled out: creating occurrences only while there is room for them, since a job may ask for so many at once.

A client's deadline that is not a number, or infinite, is taken for the usual one and for 60 s. Before, such a request was repeated for as long as an outage of the store lasted.

--- a/rhubarbferry/platform/client_api.py
+++ b/rhubarbferry/platform/client_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -44,6 +45,8 @@
 DEADLINE_HEADER = b"rhubarbferry-deadline-ms"
 # Response deadline of a request without the deadline header.
 DEFAULT_DEADLINE_S = 3.0
+# Longest response deadline; a later one is treated as this one.
+MAX_DEADLINE_S = 60.0
 
 CLIENT_STATES = {
     JobPhase.QUEUED: "queued",
@@ -106,6 +109,15 @@
     )
 
 
+def _parse_deadline(value: bytes) -> float:
+    """Return the response deadline of a request, in seconds from its arrival."""
+    try:
+        timeout_s = float(value) / 1000
+    except ValueError:
+        return DEFAULT_DEADLINE_S
+    return DEFAULT_DEADLINE_S if math.isnan(timeout_s) else min(timeout_s, MAX_DEADLINE_S)
+
+
 def _retry_after_s(record: JobRecord) -> int:
     """Return the Retry-After value, in seconds, for a job that was not accepted.
 
@@ -167,10 +179,7 @@
     async def _read_request(self, scope: Any, receive: Any, started_at: float) -> ClientRequest:
         headers = dict(scope["headers"])
         authorization = [value for name, value in scope["headers"] if name == b"authorization"]
-        try:
-            timeout_s = float(headers.get(DEADLINE_HEADER, b"")) / 1000
-        except ValueError:
-            timeout_s = DEFAULT_DEADLINE_S
+        timeout_s = _parse_deadline(headers.get(DEADLINE_HEADER, b""))
         routes = self.routes()
         max_bytes = routes.limits.body_bytes if routes is not None else DEFAULT_BODY_BYTES
         chunks = []
--- a/rhubarbferry/platform/job_forms.py
+++ b/rhubarbferry/platform/job_forms.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
-import json
 import re
 from typing import Any
 
 from rhubarbferry.dispatch.messages import JobRequest, Sizes, StepRequest
+from rhubarbferry.platform.documents import (
+    MAX_INTEGER,
+    InvalidDocument,
+    decode_json,
+    read_integer,
+    read_number,
+    read_text,
+)
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 # The platform limits specs to 4,000 bytes.
 MAX_PAYLOAD_BYTES = 4000
-# Protect the memory of the owner against oversized jobs; clients send far smaller ones.
+# Protect the memory of the owner against oversized jobs; clients send far smaller ones. All
+# occurrences are kept until the job has ended, so the tasks of all of them count.
 MAX_STEPS = 256
 MAX_TASKS = 20_000
 
@@ -28,26 +36,27 @@
     :raises JobFormError: when the body is not a valid job.
     """
     try:
-        form = json.loads(body)
-    except ValueError as exc:
+        form = decode_json(body)
+    except InvalidDocument as exc:
         raise JobFormError("the body is no JSON") from exc
     if not isinstance(form, dict):
         raise JobFormError("the body is no object")
-    payload = form.get("spec", "")
-    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    payload = _parse_string(form, "spec")
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise JobFormError(f"spec: a text of at most {MAX_PAYLOAD_BYTES} bytes is needed")
     rows = form.get("phases")
     if not isinstance(rows, list) or not 1 <= len(rows) <= MAX_STEPS:
         raise JobFormError(f"phases: a list of 1 to {MAX_STEPS} steps is needed")
     steps = tuple(_parse_step(index, row) for index, row in enumerate(rows))
-    if sum(step.count for step in steps) > MAX_TASKS:
-        raise JobFormError(f"phases: more than {MAX_TASKS} tasks")
+    times = _parse_integer(form, "times")
+    if sum(step.count for step in steps) * max(1, times) > MAX_TASKS:
+        raise JobFormError(f"phases: more than {MAX_TASKS} tasks at all times together")
     return JobRequest(
         id=id,
         queue=queue,
         payload=payload,
         steps=steps,
-        times=_parse_integer(form, "times"),
+        times=times,
         start_at_s=_parse_number(form, "startAtMs") / 1000,
         interval_s=_parse_number(form, "intervalMs") / 1000,
     )
@@ -90,15 +99,18 @@
 
 
 def _parse_integer(row: dict[str, Any], name: str) -> int:
-    value = _parse_number(row, name)
-    if value != int(value):
-        raise JobFormError(f"{name}: a whole number is needed")
-    return int(value)
+    try:
+        return read_integer(_parse_number(row, name))
+    except InvalidDocument as exc:
+        raise JobFormError(f"{name}: a whole number is needed") from exc
 
 
 def _parse_number(row: dict[str, Any], name: str) -> float:
-    value = row.get(name, 0)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+    try:
+        value = read_number(row.get(name, 0))
+    except InvalidDocument as exc:
+        raise JobFormError(f"{name}: a number from 0 to {MAX_INTEGER} is needed") from exc
+    if value < 0:
         raise JobFormError(f"{name}: a number of 0 or more is needed")
     return value
 
@@ -111,7 +123,7 @@
 
 
 def _parse_string(row: dict[str, Any], name: str) -> str:
-    value = row.get(name, "")
-    if not isinstance(value, str):
-        raise JobFormError(f"{name}: a text is needed")
-    return value
+    try:
+        return read_text(row.get(name, ""))
+    except InvalidDocument as exc:
+        raise JobFormError(f"{name}: a text is needed") from exc
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -12,7 +12,7 @@
 from rhubarbferry.management.app import run_command
 from rhubarbferry.test.store_engine import Put
 
-from .cell_harness import CellHarness, configuration, step
+from .cell_harness import HOST, CellHarness, configuration, step
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
 
@@ -106,6 +106,28 @@
     harness.assert_nothing_twice()
 
 
+UNSCHEDULABLE_JOBS = {
+    "a size beyond the range of floats": b'{"phases":[{"count":1,"cpu":1e308}]}',
+    "a spec that is no text": b'{"phases":[{"count":1}],"spec":"\\ud800"}',
+    "too many times": b'{"phases":[{"count":1}],"times":1e300}',
+}
+
+
+@pytest.mark.parametrize("body", UNSCHEDULABLE_JOBS.values(), ids=UNSCHEDULABLE_JOBS.keys())
+async def test_a_job_that_cannot_be_scheduled_does_not_end_the_term_of_the_owner(harness, body):
+    """Guards against a cell in which no task starts because of one job of one client."""
+    fence = harness.store.engine.get("cell/control/owner").kv.mod_revision
+    invalid, *sound = ids(4)
+    url = f"http://{harness.members['one'].front}/q/{invalid}"
+    async with harness.session.post(url, data=body, headers={"Host": HOST}) as resp:
+        assert resp.status == 400
+    for id in sound:
+        assert await harness.submit(harness.members["one"], id) == 200
+    for id in sound:
+        await harness.wait_for_state(harness.members["two"], id, "complete", within_s=5.0)
+    assert harness.store.engine.get("cell/control/owner").kv.mod_revision == fence
+
+
 async def test_jobs_continue_after_their_owner_is_killed(harness):
     """Guards against jobs that stall or run twice after their owner was killed."""
     for worker in harness.workers.values():
