Keep invalid configurations, members, rosters and states from ending a term

An infinite number in the configuration, in one of its routes or in the settings file ended the process that read it; a member's key with a missing or a new field ended every process; an unreadable roster or state of a job ended the term of each owner in turn. Found by reading; nobody is known to have seen it, and the platform refuses invalid configurations itself.

Each is now refused where it is read. An owner whose key can't be decoded counts as one that doesn't respond, so it is replaced. Without a known roster all inherited jobs wait until the earlier leases have expired, since any host may run their tasks. Work beyond 64 bits no longer fails the calls that carry the load of the cell.

--- a/rhubarbferry/cell/load_summary.py
+++ b/rhubarbferry/cell/load_summary.py
@@ -23,6 +23,8 @@
 )
 # Version of the format and meaning of summaries.
 FORMAT = 1
+# Limit of an encoded number. The work of jobs may exceed what a 64-bit field holds.
+MAX_WIRE_INTEGER = 2**62
 
 
 class LoadSummaryError(Exception):
@@ -40,9 +42,9 @@
         services=[
             WireServiceLoad(
                 service_name=service.service,
-                millicores=service.capacity.millicores,
-                memory_mb=service.capacity.memory_mb,
-                accelerators=service.capacity.accelerators,
+                millicores=_bounded(service.capacity.millicores),
+                memory_mb=_bounded(service.capacity.memory_mb),
+                accelerators=_bounded(service.capacity.accelerators),
                 accounts=[_encode_account(load) for load in service.accounts],
             )
             for service in summary.services
@@ -50,17 +52,21 @@
     )
 
 
+def _bounded(value: float) -> int:
+    return int(min(value, MAX_WIRE_INTEGER))
+
+
 def _encode_account(load: AccountLoad) -> WireAccountLoad:
     return WireAccountLoad(
         account=load.account,
-        used_millicores=int(load.used_cores * 1000),
-        owed_millicores=int(load.owed_cores * 1000),
-        usable_millicores=int(load.usable_cores * 1000),
+        used_millicores=_bounded(load.used_cores * 1000),
+        owed_millicores=_bounded(load.owed_cores * 1000),
+        usable_millicores=_bounded(load.usable_cores * 1000),
         ahead=[
             WireQueueLoad(
                 priority=item.priority,
-                in_time_ms=int(item.in_time * 1000),
-                late_ms=int(item.late * 1000),
+                in_time_ms=_bounded(item.in_time * 1000),
+                late_ms=_bounded(item.late * 1000),
             )
             for item in load.ahead
         ],
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable
 
+import cattrs
 import xxhash
 from attrs import asdict, define, field, frozen
+from loguru import logger
 
 from rhubarbferry.cell import keys
 from rhubarbferry.ports.store import KeyDeleted, KeyPut, KeyValue, WatchEvent
@@ -55,14 +58,24 @@
 
 
 def decode_member(value: bytes) -> Member:
-    """Decode the value of a member's or the owner's key.
+    """Decode the value of a member's or the owner's key; ignore unknown fields.
 
     :raises ValueError: if the value does not describe a member.
     """
     try:
-        return Member(**json.loads(value))
-    except (TypeError, ValueError) as exc:
-        raise ValueError(f"invalid member record: {exc!r}") from exc
+        member = cattrs.structure(json.loads(value), Member)
+    except Exception as exc:
+        raise ValueError(f"invalid member record: {exc!r:.300}") from exc
+    if not all(math.isfinite(x) for x in (member.store_s, member.cores, member.link_mbps)):
+        raise ValueError("invalid member record: a number is not finite")
+    if not member.address.rpartition(":")[2].isdigit():
+        raise ValueError("invalid member record: the address has no port")
+    return member
+
+
+# Stands for the writer of an owner's key that can't be decoded. No process listens at its address,
+# so the other processes find it unresponsive and replace it.
+UNKNOWN_OWNER = Member(name="", address="0.0.0.0:0", region="", failure_domain="")
 
 
 @define(kw_only=True, eq=False)
@@ -101,14 +114,18 @@
                     self._delete(key, revision)
 
     def _put(self, kv: KeyValue) -> None:
-        if kv.key == keys.OWNER:
-            self.set_owner(
-                Ownership(
-                    owner=decode_member(kv.value), fence=kv.mod_revision, lease_id=kv.lease_id
-                )
-            )
-        elif kv.key.startswith(keys.MEMBERS):
+        if kv.key != keys.OWNER and not kv.key.startswith(keys.MEMBERS):
+            return
+        try:
             member = decode_member(kv.value)
+        except ValueError as exc:
+            logger.warning("the value of {!r} can't be decoded: {}", kv.key, exc)
+            if kv.key != keys.OWNER:
+                return
+            member = UNKNOWN_OWNER
+        if kv.key == keys.OWNER:
+            self.set_owner(Ownership(owner=member, fence=kv.mod_revision, lease_id=kv.lease_id))
+        else:
             self.members[member.name] = member
             self.registered[member.name] = kv.mod_revision
             self.version += 1
--- a/rhubarbferry/cell/roster.py
+++ b/rhubarbferry/cell/roster.py
@@ -13,6 +13,10 @@
 from rhubarbferry.ports.store import Conflict, Expect, KeyValue, Put, Txn, TxnStore
 
 
+class RosterError(Exception):
+    """The stored roster can't be decoded; another version of the program may have written it."""
+
+
 @define(kw_only=True, eq=False)
 class Roster:
     """The stored roster. A host gets no orders before it is on it.
@@ -28,11 +32,19 @@
     revision: int = 0
 
     def load(self, item: KeyValue | None) -> None:
-        """Load the roster that an earlier owner has written."""
+        """Load the roster that an earlier owner has written.
+
+        :raises RosterError: if it can't be decoded; it is empty then, and :meth:`update` replaces
+            it.
+        """
         if item is None:
             return
         self.revision = item.mod_revision
-        entries = [cattrs.structure(entry, RosterEntry) for entry in json.loads(item.value)]
+        self.entries = {}
+        try:
+            entries = [cattrs.structure(entry, RosterEntry) for entry in json.loads(item.value)]
+        except Exception as exc:
+            raise RosterError(f"the stored roster is invalid: {exc!r:.300}") from exc
         self.entries = {entry.id: entry for entry in entries}
 
     def holds(self, id: str) -> bool:
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -21,7 +21,7 @@
 from rhubarbferry.cell.orders import OrderExecutor
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
-from rhubarbferry.cell.roster import Roster
+from rhubarbferry.cell.roster import Roster, RosterError
 from rhubarbferry.cell.term_context import OwnershipLost, ProcessContext, Tenure, TermContext
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.hosts import LEASE_EXPIRY_MARGIN_S, MAX_CLOCK_DRIFT
@@ -29,7 +29,7 @@
 from rhubarbferry.dispatch.messages import HostEntry, Sizes
 from rhubarbferry.dispatch.roster import apply_roster, close_unavailable_hosts, next_roster
 from rhubarbferry.dispatch.takeover import Takeover
-from rhubarbferry.ports.store import StoreError
+from rhubarbferry.ports.store import KeyValue, StoreError
 
 # Longest interval between two scheduling decisions, because some changes (leases, deadlines) depend
 # only on the time and raise no event.
@@ -218,12 +218,12 @@
                 roster, _ = await asyncio.gather(
                     self.process.store.get(keys.ROSTER), self._job_watcher.load()
                 )
-                self._roster.load(roster)
                 break
             except StoreError as exc:
                 self.process.log.emit("term.not_loaded", reason=str(exc))
                 await asyncio.sleep(LOAD_RETRY_INTERVAL_S)
         takeover = self.ctx.dispatcher.takeover
+        takeover.roster_known = self._load_roster(roster)
         takeover.unconfirmed = dict(self._roster.entries)
         self.process.log.emit(
             "term.loaded",
@@ -232,6 +232,20 @@
             hosts=len(takeover.unconfirmed),
         )
 
+    def _load_roster(self, item: KeyValue | None) -> bool:
+        """Load the stored roster; return whether it is known."""
+        try:
+            self._roster.load(item)
+        except RosterError as exc:
+            self.process.log.emit(
+                "roster.unreadable",
+                revision=self._roster.revision,
+                reason=str(exc),
+                outcome="all inherited jobs wait until earlier leases have expired",
+            )
+            return False
+        return True
+
     async def _hand_over_if_disconnected(self) -> None:
         """Hand over to a process that reaches the store when this one does not.
 
--- a/rhubarbferry/dispatch/record.py
+++ b/rhubarbferry/dispatch/record.py
@@ -153,7 +153,7 @@
                 raise ValueError(f"there is no occurrence {number}")
             job.create_occurrences_through(number, now)
             _restore_step(job.occurrences[number].steps[index], fields)
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
+    except Exception as exc:
         raise RecordError(f"the value is not a valid state of job {job.id}: {exc!r}") from exc
 
 
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -41,12 +41,15 @@
     by 8 s.
 
     :param unconfirmed: roster entries of the hosts that have not answered yet, by id.
+    :param roster_known: whether ``unconfirmed`` lists all hosts that may run tasks. If not, all
+        inherited jobs wait until the earlier leases must have expired.
     :param leases_expire_at: when every earlier task lease must have expired: the time of the
         takeover plus the earlier owner's own lease, the longest task lease and the maximum
         clock drift.
     """
 
     unconfirmed: dict[str, RosterEntry] = Factory(dict)
+    roster_known: bool = True
     leases_expire_at: float
 
     def record_report(self, id: str) -> None:
@@ -57,7 +60,10 @@
         """Stop waiting for hosts once all earlier leases must have expired."""
         if now >= self.leases_expire_at:
             self.unconfirmed.clear()
+            self.roster_known = True
 
     def may_resume(self, job: str) -> bool:
         """Return whether no unconfirmed host can be running tasks of a job."""
-        return not any(entry.may_run(job) for entry in self.unconfirmed.values())
+        return self.roster_known and not any(
+            entry.may_run(job) for entry in self.unconfirmed.values()
+        )
--- a/rhubarbferry/platform/accounts.py
+++ b/rhubarbferry/platform/accounts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -10,6 +9,7 @@
 
 from rhubarbferry.cell.accounts import AccountTable, key_digest
 from rhubarbferry.dispatch.messages import Account, Sizes
+from rhubarbferry.platform.documents import DECODE_ERRORS, InvalidDocument, read_number
 
 API_KEY_SCHEME = "Bearer"
 # Bounds the work of hashing a value that can't be a key.
@@ -53,7 +53,7 @@
             digests = {key_digest(key) for key in _decode_keys(entry)}
             if account.name in settings:
                 raise ValueError("another account has this name")
-        except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        except DECODE_ERRORS as exc:
             name = entry.get("name") if isinstance(entry, Mapping) else None
             logger.warning("skipping the invalid account {!r}: {}", name, exc)
             continue
@@ -88,10 +88,12 @@
 
 
 def _decode_number(row: Any, field: str, default: int) -> float:
-    value = row.get(field, default)
-    valid = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not valid or not math.isfinite(value) or value < 0:
-        raise ValueError(f"{field}: a number of 0 or more is needed")
+    try:
+        value = read_number(row.get(field, default))
+    except InvalidDocument as exc:
+        raise InvalidDocument(f"{field}: {exc}") from exc
+    if value < 0:
+        raise InvalidDocument(f"{field}: a number of 0 or more is needed")
     return value
 
 
--- a/rhubarbferry/platform/configuration.py
+++ b/rhubarbferry/platform/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from loguru import logger
@@ -10,6 +9,7 @@
 from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Limits, Route, RouteTable
 from rhubarbferry.dispatch.messages import ApprovalCost, Queue
 from rhubarbferry.platform.accounts import decode_accounts
+from rhubarbferry.platform.documents import DECODE_ERRORS, decode_json, read_integer, read_number
 
 CONFIGURATION_KEY = "op/config"
 
@@ -24,13 +24,13 @@
     :raises ConfigurationError: when the value is not a valid configuration as a whole.
     """
     try:
-        body = json.loads(value)
-        version = int(body["version"])
+        body = decode_json(value)
+        version = read_integer(body["version"])
         entries = list(body["routes"])
         limits = body.get("limits") or {}
-        body_bytes = int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        raise ConfigurationError(f"not a valid configuration: {exc!r}") from exc
+        body_bytes = read_integer(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))
+    except DECODE_ERRORS as exc:
+        raise ConfigurationError(f"not a valid configuration: {exc!r:.300}") from exc
     routes = [route for entry in entries if (route := _decode_route_or_none(entry)) is not None]
     return RouteTable(
         version=version,
@@ -44,8 +44,8 @@
 def _decode_route_or_none(entry: Any) -> Route | None:
     try:
         return _decode_route(entry)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        logger.warning("skipping an invalid route: {!r}", exc)
+    except DECODE_ERRORS as exc:
+        logger.warning("skipping an invalid route: {!r:.300}", exc)
         return None
 
 
@@ -56,17 +56,17 @@
     advice = None
     if cost:
         advice = ApprovalCost(
-            decision_s=float(cost["decisionMs"]) / 1000,
-            per_host_s=float(cost["perWorkerMs"]) / 1000,
-            valid_s=float(cost["validMs"]) / 1000,
+            decision_s=read_number(cost["decisionMs"]) / 1000,
+            per_host_s=read_number(cost["perWorkerMs"]) / 1000,
+            valid_s=read_number(cost["validMs"]) / 1000,
         )
     queue = Queue(
         name=str(entry["name"]),
         service=str(entry["service"]),
-        priority=int(entry.get("priority", 0)),
-        attempts=max(1, int(entry.get("attempts", 1))),
-        slack_factor=float(entry.get("slackFactor", 1.0)),
-        objective_s=float(entry.get("sloMs", 0)) / 1000,
+        priority=read_integer(entry.get("priority", 0)),
+        attempts=max(1, read_integer(entry.get("attempts", 1))),
+        slack_factor=read_number(entry.get("slackFactor", 1.0)),
+        objective_s=read_number(entry.get("sloMs", 0)) / 1000,
         advice=advice,
     )
     return Route(
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import math
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -158,7 +159,8 @@
             if default is _MISSING:
                 raise SettingsFileError(f"{path}: missing; the platform must set it")
             return default
-        if not isinstance(found, expected_type) or isinstance(found, bool):
+        finite = not isinstance(found, float) or math.isfinite(found)
+        if not isinstance(found, expected_type) or isinstance(found, bool) or not finite:
             raise SettingsFileError(
                 f"{path}: {found!r} is of the wrong type; expected {expected_type}"
             )
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -28,7 +28,9 @@
 from rhubarbferry.dispatch.load import AccountLoad, QueueLoad, ServiceLoad
 from rhubarbferry.dispatch.messages import Account, Sizes
 from rhubarbferry.ports.clock import SystemClock
-from rhubarbferry.rpc.gen.ttypes import KnownLoad
+from rhubarbferry.rpc.codec import encode_reply
+from rhubarbferry.rpc.gen.ttypes import JobNoticeReply, KnownLoad
+from rhubarbferry.rpc.services import PEER
 from rhubarbferry.test.fake_clock import FakeClock
 from tests.cell.cell_harness import free_ports
 
@@ -261,6 +263,16 @@
     assert received == evolve(sent, taken_at=48.75)
 
 
+def test_work_beyond_the_range_of_a_field_is_encoded():
+    """Guards against calls to the owner that fail because of one account's immense jobs."""
+    immense = account_load("flooding", work=1e30)
+    service = evolve(summary(taken_at=0.0).services[0], accounts=(immense,))
+    wire = encode_summary(summary(taken_at=0.0, services=(service,)), now=0.0)
+    method = PEER.methods["job_accepted"]
+    frame = encode_reply(method, 1, JobNoticeReply(taken=True, load=wire))
+    assert len(frame) > 0
+
+
 INVALID = {
     "another format": {"format": FORMAT + 1},
     "no format": {"format": None},
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.members import (
+    UNKNOWN_OWNER,
     CellView,
     Ownership,
     decode_member,
@@ -13,6 +16,7 @@
     encode_member,
     successors,
 )
+from rhubarbferry.cell.peers import PeerClient, PingResult
 from rhubarbferry.ports.store import KeyDeleted, KeyPut, KeyValue
 
 from .fakes import member
@@ -123,3 +127,45 @@
 def test_an_encoded_member_decodes_to_the_same_member():
     one = member("a", store_s=0.012)
     assert decode_member(encode_member(one)) == one
+
+
+def test_a_member_of_a_later_version_is_known():
+    """Guards against processes that end while a later version of the program is rolled out."""
+    value = json.dumps({**json.loads(encode_member(member("a"))), "new": [1]}).encode()
+    assert decode_member(value) == member("a")
+
+
+INVALID_MEMBERS = {
+    "not JSON": b"{",
+    "deeply nested": b"[" * 100_000,
+    "a list": b"[]",
+    "a missing field": b'{"name":"b"}',
+    "an infinite number": encode_member(member("b", cores=1.5)).replace(b"1.5", b"1e999"),
+    "an address without a port": encode_member(member("b", address="b")),
+}
+
+
+@pytest.mark.parametrize("value", INVALID_MEMBERS.values(), ids=INVALID_MEMBERS.keys())
+def test_an_invalid_member_is_skipped(value):
+    """Guards against one member's key that ends all processes of the cell."""
+    view = CellView()
+    items = [
+        KeyValue(key=keys.MEMBERS + id, value=value, mod_revision=1, create_revision=1)
+        for id, value in (("b", value), ("a", encode_member(member("a"))))
+    ]
+    view.replace(items, revision=1)
+    assert list(view.members) == ["a"]
+
+
+@pytest.mark.parametrize("value", INVALID_MEMBERS.values(), ids=INVALID_MEMBERS.keys())
+async def test_an_owner_whose_key_is_invalid_does_not_respond(value):
+    """Guards against a cell that waits for ever for an owner that it can't call."""
+    view = CellView()
+    owner_key = KeyValue(key=keys.OWNER, value=value, mod_revision=7, create_revision=7, lease_id=3)
+    view.replace([owner_key], revision=7)
+    assert view.ownership == Ownership(owner=UNKNOWN_OWNER, fence=7, lease_id=3)
+    peers = PeerClient(extra_s=lambda: 0.0)
+    try:
+        assert await peers.ping(UNKNOWN_OWNER, timeout_s=0.5) is PingResult.REFUSED
+    finally:
+        await peers.close()
--- a/tests/cell/test_roster.py
+++ b/tests/cell/test_roster.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from types import SimpleNamespace
 
 import pytest
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.roster import Roster
+from rhubarbferry.cell.roster import Roster, RosterError
 from rhubarbferry.cell.term_context import OwnershipLost, Tenure
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.dispatch.takeover import RosterEntry
@@ -23,14 +24,17 @@
     return (await store.commit(Txn(put=(Put(key=keys.OWNER, value=b"{}"),)))).revision
 
 
-async def make_roster(store, *, fence: int = 0) -> Roster:
+async def make_tenure(store, *, fence: int = 0) -> Tenure:
     lease = Lease(id=7, incarnation=1, until=time.monotonic() + 60, margin_s=0.0)
-    tenure = Tenure(
+    return Tenure(
         keeper=SimpleNamespace(valid_lease=lambda: lease, kept_lease=lambda: lease),
         lease_id=7,
         fence=fence or await take_ownership(store),
     )
-    roster = Roster(store=store, tenure=tenure)
+
+
+async def make_roster(store, *, fence: int = 0) -> Roster:
+    roster = Roster(store=store, tenure=await make_tenure(store, fence=fence))
     roster.load(await store.get(keys.ROSTER))
     return roster
 
@@ -78,3 +82,17 @@
     stored = b'[{"id":"a","address":"a:1","incarnation":1,"service":"pool"}]'
     roster.load(SimpleNamespace(mod_revision=3, value=stored))
     assert roster.entries == {"a": OPEN}
+
+
+@pytest.mark.parametrize("value", [b"{", b"7", b'[{"id":"a"}]', b"[" * 100_000])
+async def test_a_roster_that_cannot_be_decoded_is_replaced(store, value):
+    """Guards against a stored value that ends the term of every owner in turn."""
+    await store.commit(Txn(put=(Put(key=keys.ROSTER, value=value),)))
+    with pytest.raises(RosterError):
+        await make_roster(store)
+    roster = Roster(store=store, tenure=(await make_tenure(store)))
+    with contextlib.suppress(RosterError):
+        roster.load(await store.get(keys.ROSTER))
+    assert roster.entries == {}
+    assert await roster.update({"a": OPEN})
+    assert (await make_roster(store)).entries == {"a": OPEN}
--- a/tests/dispatch/test_scheduled_jobs.py
+++ b/tests/dispatch/test_scheduled_jobs.py
@@ -175,3 +175,10 @@
     state = b'{"phase":"running","steps":{"%d.0":{"done":"1"}}}' % TIMES
     with pytest.raises(RecordError, match="occurrence"):
         restore_state(scheduled(), state, now=10.0)
+
+
+@pytest.mark.parametrize("steps", [b"7", b'{"0.0":7}', b'{"0.0":{"saved":7}}', b'{"0.9":{}}'])
+def test_a_state_that_cannot_be_decoded_is_refused(steps):
+    """Guards against one stored state that ends the term of every owner in turn."""
+    with pytest.raises(RecordError):
+        restore_state(scheduled(), b'{"phase":"running","steps":%s}' % steps, now=10.0)
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -211,3 +211,18 @@
     assert roster_of(world, a=known) == {}
     hosts = world.dispatcher.tracker.hosts
     assert next_roster({"a": known}, {}, hosts, unconfirmed={"a"}, now=world.now) == {"a": known}
+
+
+def test_without_a_known_roster_all_inherited_jobs_wait_for_the_leases():
+    """Guards against a second run of a task on a host that an unreadable roster has listed."""
+    world = World("a")
+    world.dispatcher.takeover.roster_known = False
+    world.add(inherited("old", step()))
+    world.add(job("new", step()))
+    assert [order.task.job for order in world.starts()] == ["new"]
+    for _ in range(16):
+        world.deliver_reports()
+        assert world.starts(0.5) == []
+    world.now += 1.5
+    world.deliver_reports()
+    assert [order.task.job for order in world.starts()] == ["old"]
--- a/tests/on_platform/test_decoding.py
+++ b/tests/on_platform/test_decoding.py
@@ -292,9 +292,21 @@
     assert (found.queue.name if found else None) == name
 
 
-def test_an_invalid_route_is_skipped():
-    table = decode_configuration(configuration({"name": "x"}, 3, ROUTE), revision=1)
-    assert list(table.queues) == ["r-1"]
+INVALID_ROUTES = [
+    {"name": "x"},
+    3,
+    {**ROUTE, "name": "x", "priority": 1e300},
+    {**ROUTE, "name": "x", "attempts": "@"},
+    {**ROUTE, "name": "x", "sloMs": "@"},
+    {**ROUTE, "name": "x", "advisor": {"decisionMs": "@", "perWorkerMs": 1, "validMs": 1}},
+]
+
+
+@pytest.mark.parametrize("invalid", INVALID_ROUTES)
+def test_an_invalid_route_is_skipped(invalid):
+    """Guards against one route that keeps the configuration from all processes."""
+    value = configuration(invalid, ROUTE).replace(b'"@"', b"1e999")
+    assert list(decode_configuration(value, revision=1).queues) == ["r-1"]
 
 
 INVALID_CONFIGURATIONS = [
@@ -305,6 +317,10 @@
     b'{"version":1,"routes":[],"limits":["x"]}',
     b'{"version":1,"routes":[],"limits":{"maxBodyBytes":"x"}}',
     b'{"version":1,"routes":[],"limits":{"maxBodyBytes":null}}',
+    b'{"version":1,"routes":[],"limits":{"maxBodyBytes":1e999}}',
+    b'{"version":1e999,"routes":[]}',
+    b'{"version":NaN,"routes":[]}',
+    b"[" * 100_000,
 ]
 
 
@@ -348,6 +364,9 @@
     "listen.front": {"listen": {"readiness": "10.1.0.13:8167"}},
     "platform.addr": {"platform": {}},
     "bounds.holdMaxMs": {"bounds": {"holdMaxMs": "long"}},
+    "bounds.graceS": {"bounds": {"graceS": float("inf")}},
+    "limits.maxFds": {"limits": {"maxFds": float("inf")}},
+    "limits.cores": {"limits": {"cores": float("nan")}},
 }
 
 
