--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -136,8 +136,9 @@
             self.quotas.add_account(job.account)
         if job.req.times > 0:
             self._repeated_jobs[job.id] = job
-            job.restore_due_times(now, wall_s)
             job.create_due_occurrences(now, wall_s)
+            if job.inherited:
+                job.restore_due_times(now, wall_s)
         elif not job.occurrences:
             job.add_occurrence(0, now)
         if job.inherited:
--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -317,7 +317,7 @@
         return [self.add_occurrence(each, now) for each in range(self.next_occurrence, number + 1)]
 
     def restore_due_times(self, now: float, wall_s: float) -> None:
-        """Set when the occurrences of a repeated job were due, after an earlier owner began them.
+        """Set when the occurrences of a repeated job were due, which no stored state contains.
 
         :param wall_s: Unix time; an inaccurate clock changes the order of jobs only slightly.
         """
--- a/tests/dispatch/test_scheduled_jobs.py
+++ b/tests/dispatch/test_scheduled_jobs.py
@@ -127,6 +127,16 @@
     assert after.dispatcher.jobs["j"].occurrences[0].due_at == pytest.approx(due_at)
 
 
+def test_an_occurrence_that_was_due_without_an_owner_keeps_its_due_time():
+    """Guards against occurrences that count as new since no process was the owner."""
+    before = World("a")
+    start_occurrences(before, 1)
+    before.now = 11.5
+    after = take_over(before)
+    occurrences = after.dispatcher.jobs["j"].occurrences
+    assert [each.due_at for each in occurrences.values()] == pytest.approx([10.0, 10.5, 11.0])
+
+
 @pytest.mark.parametrize("ended", [False, True])
 def test_an_occurrence_that_a_host_reports_is_known_before_it_is_due(ended):
     """Guards against a task that runs again since the new owner's clock is behind."""
