Submit the backlog of the admission test as one job

The log of that run shows a true refusal: summary_age_s 0.008, expected_s 13.18, limit_s 10.5. The load is summed up every 0.5 s, and this time a summary was made within the 0.1 s in which the jobs were submitted; the test assumed that none is.

The backlog of 60 tasks is now one job, which no summary can precede. What the test asks of the refusals, of the other account and of a dead owner is the same. Ruled out: a summary that counts too much; 89.5 core-seconds ahead are those of the ten accepted jobs less what had run.

--- a/tests/cell/test_admission_processes.py
+++ b/tests/cell/test_admission_processes.py
@@ -16,8 +16,9 @@
 NAMES = ("one", "two", "three")
 WORK_S = 2.0
 # The objective is 3.5 s (1.5 x 2 s + 0.5 s), so a job must end within 10.5 s. The backlog takes
-# 15 s on all 8 cores.
-BACKLOG_JOBS, TASKS_PER_JOB = 12, 5
+# 15 s on all 8 cores. It is one job: a summary of the load that is made between the submissions of
+# several would refuse the last of them.
+BACKLOG_TASKS = 60
 TASK = {"cpu": 1000, "estimateMs": int(WORK_S * 1000)}
 KEYS = {"flooding": "key-of-flooding", "quiet": "key-of-quiet"}
 
@@ -84,15 +85,13 @@
     """Guards against refusals of jobs that run, of other accounts, and by a dead owner."""
     owner = harness.owner()
     other, third = (m for m in harness.members.values() if m is not owner)
-    for number in range(BACKLOG_JOBS):
-        accepted = await post(harness, other, "flooding", id_of(number), TASKS_PER_JOB)
-        assert accepted == (200, None)
+    assert await post(harness, other, "flooding", id_of(0), BACKLOG_TASKS) == (200, None)
     refused, retry_after = await flood_until_refused(harness, other, 1000)
     assert int(retry_after) >= 1
     assert await get(harness, third, "flooding", refused) == 410
     # A request that arrives again is answered by its first outcome, wherever it arrives.
     for member in harness.members.values():
-        assert (await post(harness, member, "flooding", id_of(0), TASKS_PER_JOB))[0] == 200
+        assert (await post(harness, member, "flooding", id_of(0), BACKLOG_TASKS))[0] == 200
     assert (await post(harness, other, "quiet", id_of(2000)))[0] == 200
     [line] = [line for line in other.events("job.not_accepted") if line["job"] == refused]
     assert line["account"] == "flooding"
