--- /dev/null
+++ b/review/standins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the cases 4 to 8: the platform's store, runners, and a small deployment."""
