Wait for a silent host that alone knows that a task has ended

Cause: the stored roster lists for a closed host the jobs that it may still run, computed from its runs. A run whose end has been read is not among them, also while that end is in no stored state. The next owner did not wait for the host.

Ruled out: a late write of the state (its condition fails after the change of the owner), and a host that forgets the end (it lists it when it is back).

A host now keeps the job of each end that is read and not recorded. Its roster entry lists these jobs, and an idle host that has left stays on the roster until they are recorded.

The tests fail without the change: both of test_host_crashes (the second run is at work), three of the five cases of test_takeover.

--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -95,7 +95,7 @@
             return False
         for host, entry, end in seen:
             if host.entry.incarnation == entry.incarnation:
-                host.recorded_end = max(host.recorded_end, end)
+                host.mark_ends_recorded(end)
         return True
 
     async def _write(self, group: list[_Snapshot]) -> bool:
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -68,6 +68,8 @@
     :param leases_until_s: time on its clock until which task leases have been requested.
     :param seen_end: number of the last end that has been processed.
     :param recorded_end: number of the last end whose effect has been written to the store.
+    :param unrecorded_ends: job of each processed end whose effect has not been written to the
+        store, by the number of the end. The next owner learns of these ends from the host only.
     :param restarted_at: when its last restart under the same id was noticed.
     :param poll_failed_at: when a poll last failed; ``-inf`` once a later one has been answered.
     :param last_report_at: when its last report arrived.
@@ -90,6 +92,7 @@
     leases_until_s: float = 0.0
     seen_end: int = 0
     recorded_end: int = 0
+    unrecorded_ends: dict[int, str] = Factory(dict)
     restarted_at: float = float("-inf")
     poll_failed_at: float = float("-inf")
     last_report_at: float = 0.0
@@ -184,6 +187,17 @@
             self.used = self.used.minus(run.task.step.req.room)
             self.quotas.remove(run)
 
+    def add_end(self, number: int, job: str) -> None:
+        """Add an end that has been processed and is not in the store yet."""
+        self.seen_end = number
+        self.unrecorded_ends[number] = job
+
+    def mark_ends_recorded(self, number: int) -> None:
+        """Record that the effects of all ends up to a number have been written to the store."""
+        self.recorded_end = max(self.recorded_end, number)
+        for recorded in [end for end in self.unrecorded_ends if end <= self.recorded_end]:
+            del self.unrecorded_ends[recorded]
+
     def record_report(
         self, report: HostReport, *, sent_at: float, now: float, lease_s: float
     ) -> None:
--- a/rhubarbferry/dispatch/roster.py
+++ b/rhubarbferry/dispatch/roster.py
@@ -65,6 +65,8 @@
         return entry
     jobs = {run.task.id.job for run in host.runs.values() if run.phase is not RunPhase.RESERVED}
     jobs.update(task.job for task, _ in host.unknown_runs)
+    # The next owner would start tasks again that have ended here, unless it waits for the host.
+    jobs.update(host.unrecorded_ends.values())
     return evolve(entry, outstanding=tuple(sorted(jobs)))
 
 
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -14,8 +14,8 @@
     :param incarnation: incarnation that the orders were sent to.
     :param service: pool that it belongs to.
     :param outstanding: ``None`` while the host may receive orders. Otherwise the host is closed,
-        and these are the jobs that it may still run; it stays closed until this is ``None`` again
-        in the store.
+        and these are the jobs that it may still run, or of which it may have ended tasks whose ends
+        are not recorded; it stays closed until this is ``None`` again in the store.
     """
 
     id: str
@@ -25,7 +25,7 @@
     outstanding: tuple[str, ...] | None = None
 
     def may_run(self, job: str) -> bool:
-        """Return whether tasks of a job may be running on the host, or may still start there."""
+        """Return whether tasks of a job may be running on the host, start there, or have ended."""
         return self.outstanding is None or job in self.outstanding
 
 
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -207,6 +207,7 @@
         host.unknown_runs = {}
         host.adopted = False
         host.seen_end = host.recorded_end = 0
+        host.unrecorded_ends = {}
         host.leases_until_s = 0.0
         host.restarted_at = now
         self.changed.add(host.id)
@@ -234,7 +235,7 @@
             self.changed.add(host.id)
         for ended in report.ended:
             if ended.number > host.seen_end:
-                host.seen_end = ended.number
+                host.add_end(ended.number, ended.task.job)
                 events += self._handle_end(host, ended, now)
         listed = {(running.task, running.attempt) for running in report.running}
         host.unknown_runs = {key: at for key, at in host.unknown_runs.items() if key in listed}
@@ -454,8 +455,9 @@
                     for run in list(host.runs.values())
                 ]
             # An adopted host without runs is idle, even if its leases have not expired. It is
-            # removed at once; otherwise the next takeover would wait for a host that has left.
-            idle = host.adopted and not host.unknown_runs
+            # removed at once; otherwise the next takeover would wait for a host that has left. A
+            # takeover has to wait while the host alone knows that a task has ended.
+            idle = host.adopted and not host.unknown_runs and not host.unrecorded_ends
             has_left = not host.listed and not host.runs and (idle or host.clock is None)
             if has_left and host.id not in keep:
                 del self.hosts[host.id]
--- a/tests/dispatch/test_dispatcher_machine.py
+++ b/tests/dispatch/test_dispatcher_machine.py
@@ -89,6 +89,7 @@
         self.records: dict[str, tuple[JobRequest, Queue, bytes | None, int]] = {}
         self.ended: dict[str, JobPhase] = {}
         self.partitioned: set[str] = set()
+        self.unlisted: set[str] = set()
         self.reports_lost: set[str] = set()
         self.roster: dict[str, RosterEntry] = {}
         self.fates: dict[str, list[Fate]] = {}
@@ -144,6 +145,12 @@
     def partition(self, host):
         self.partitioned.add(f"h{host}")
 
+    @rule(host=st.integers(0, HOSTS - 1))
+    def unlist(self, host):
+        """Drop a host from the host list while it is partitioned."""
+        if f"h{host}" in self.partitioned:
+            self.unlisted.add(f"h{host}")
+
     @rule(host=st.integers(0, HOSTS - 1))
     def lose_reports(self, host):
         """Lose a host's reports, while orders still reach it."""
@@ -152,6 +159,7 @@
     @rule()
     def heal(self):
         self.partitioned.clear()
+        self.unlisted.clear()
         self.reports_lost.clear()
         self.fates.clear()
 
@@ -190,7 +198,7 @@
         self.dispatcher.dirty.clear()
         for host, entry, end in seen:
             if host.entry.incarnation == entry.incarnation:
-                host.recorded_end = max(host.recorded_end, end)
+                host.mark_ends_recorded(end)
 
     @rule()
     def take_over(self):
@@ -257,7 +265,11 @@
     def read_host_list(self) -> None:
         """Read the host list and store the roster."""
         hosts = self.dispatcher.tracker.hosts
-        listed = {host.id: host.entry() for host in self.oracle.hosts.values() if not host.down}
+        listed = {
+            host.id: host.entry()
+            for host in self.oracle.hosts.values()
+            if not host.down and host.id not in self.unlisted
+        }
         close_unavailable_hosts(hosts, self.now)
         unconfirmed = self.dispatcher.takeover.unconfirmed
         self.roster = next_roster(self.roster, listed, hosts, unconfirmed=unconfirmed, now=self.now)
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -60,6 +60,24 @@
     found.teardown()
 
 
+@pytest.mark.parametrize("listed", [True, False], ids=["listed", "unlisted"])
+def test_task_with_an_unrecorded_end_is_not_started_again_while_its_host_is_cut_off(listed):
+    """Guards against a new owner that takes a host for idle whose ends are in no stored state."""
+    found = machine()
+    submit(found, 1)
+    found.advance(ticks=1)
+    (host,) = [host for host in found.oracle.hosts.values() if host.running]
+    found.end_run(pick=0, how=EndKind.DONE)
+    found.advance(ticks=1)
+    found.partitioned.add(host.id)
+    found.unlisted.update(set() if listed else {host.id})
+    found.advance(ticks=8)
+    found.take_over()
+    found.advance(ticks=4)
+    assert not any(other.running for other in found.oracle.hosts.values())
+    found.teardown()
+
+
 @pytest.mark.parametrize(
     ("forgotten", "raises"),
     [
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -210,6 +210,43 @@
     assert roster_of(world, a=known)["a"].outstanding == ("j",)
 
 
+@pytest.mark.parametrize("how", [EndKind.DONE, EndKind.FAILED])
+@pytest.mark.parametrize(
+    ("recorded", "outstanding"),
+    [pytest.param(0, ("j",), id="unrecorded"), pytest.param(1, (), id="recorded")],
+)
+def test_a_closed_host_is_listed_with_the_jobs_of_its_unrecorded_ends(recorded, outstanding, how):
+    """Guards against a new owner that starts a task again whose end only a silent host knows."""
+    world = World("a")
+    world.add(job("j", step()))
+    orders = world.starts()
+    world.accept(*orders)
+    world.hosts["a"].end(orders[0], how)
+    world.now += 0.1
+    world.deliver_reports()
+    world.dispatcher.tracker.hosts["a"].mark_ends_recorded(recorded)
+    world.now += 2.0
+    known = RosterEntry(id="a", address="a:1", incarnation=1, service="pool")
+    assert roster_of(world, a=known)["a"].outstanding == outstanding
+
+
+def test_an_idle_host_that_has_left_is_kept_while_its_ends_are_not_recorded():
+    """Guards against a roster without a host that alone knows that a task has ended."""
+    world = World("a")
+    world.add(job("j", step()))
+    orders = world.starts()
+    world.accept(*orders)
+    world.hosts["a"].end(orders[0])
+    world.now += 0.1
+    world.deliver_reports()
+    world.dispatcher.host_unlisted("a")
+    world.decide(0.1)
+    host = world.dispatcher.tracker.hosts["a"]
+    host.mark_ends_recorded(host.seen_end)
+    world.decide(0.1)
+    assert not world.dispatcher.tracker.hosts
+
+
 def test_an_earlier_owners_roster_entry_stays_until_the_host_answers():
     world = World(roster=("a",))
     known = closed("a", "j")
