Write the roster again while the result of the last write is unknown

Cause: after a write without an answer Roster kept the former entries. If the next entries equalled them, nothing was written or read, and the host was opened, while the store held that it was closed with no job. The next owner did not wait for it.

Ruled out: reading the roster back, since the write may be carried out seconds later.

The roster is now written until the store has answered: an accepted write changes the revision that the earlier one expects, and a refused one returns its value.

--- a/rhubarbferry/cell/roster.py
+++ b/rhubarbferry/cell/roster.py
@@ -24,12 +24,15 @@
     The host list drops a host that has been unresponsive for some seconds, but the host's tasks
     run on until their leases expire. Without the roster a new owner would not find this host and
     would start its tasks a second time.
+
+    :ivar entries: the last entries that the store is known to have held.
     """
 
     store: TxnStore
     tenure: Tenure
     entries: dict[str, RosterEntry] = field(factory=dict)
     revision: int = 0
+    _write_unclear: bool = False
 
     def load(self, item: KeyValue | None) -> None:
         """Load the roster that an earlier owner has written.
@@ -52,14 +55,19 @@
         return id in self.entries
 
     async def update(self, entries: dict[str, RosterEntry]) -> bool:
-        """Write the roster if it has changed.
+        """Write the roster if it has changed, or if the result of the last write is unknown.
+
+        A write without an answer may have taken effect, or may take effect seconds later. Writing
+        again settles this even if the entries are back at those known to be stored: the new
+        revision rules out the earlier write.
 
         :returns: whether the store now holds these entries.
         :raises StoreError: if the write failed or its result is unknown.
         :raises OwnershipLost: if another process is the owner.
         """
-        if entries == self.entries:
+        if entries == self.entries and not self._write_unclear:
             return True
+        self._write_unclear = True
         value = json.dumps([cattrs.unstructure(entry) for entry in entries.values()]).encode()
         result = await self.store.commit(
             Txn(
@@ -73,6 +81,7 @@
         if isinstance(result, Conflict):
             self._handle_conflict(result)
             return False
+        self._write_unclear = False
         self.revision = result.revision
         self.entries = entries
         return True
@@ -83,4 +92,5 @@
             self.tenure.end("another process has taken over")
             raise OwnershipLost("another process has taken over")
         # An earlier write by this process took effect although its answer was lost.
+        self._write_unclear = False
         self.load(conflict.items.get(keys.ROSTER))
--- a/tests/cell/test_roster.py
+++ b/tests/cell/test_roster.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import time
 from types import SimpleNamespace
 
 import pytest
+from attrs import evolve
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.roster import Roster, RosterError
 from rhubarbferry.cell.term_context import OwnershipLost, Tenure
 from rhubarbferry.core.lease import Lease
 from rhubarbferry.dispatch.takeover import RosterEntry
+from rhubarbferry.platform.store import CALL_TIMEOUT_S
 from rhubarbferry.ports.store import Put, StoreUnclear, Txn
 
 OPEN = RosterEntry(id="a", address="a:1", incarnation=1, service="pool")
@@ -77,6 +80,41 @@
     assert await roster.update({"a": OPEN, "b": CLOSED})
 
 
+@pytest.mark.parametrize(
+    "unanswered",
+    [
+        pytest.param({"a": evolve(OPEN, outstanding=())}, id="closes a host"),
+        pytest.param({}, id="drops a host"),
+        pytest.param({"a": OPEN, "b": CLOSED}, id="adds a host"),
+    ],
+)
+@pytest.mark.parametrize(
+    "late_s",
+    [
+        pytest.param(0.0, id="carried out at once"),
+        pytest.param(CALL_TIMEOUT_S + 0.3, id="carried out late"),
+    ],
+)
+async def test_an_unanswered_write_is_settled_before_earlier_entries_count_again(
+    store, stand_in, late_s, unanswered
+):
+    """Guards against orders to a host that is closed or missing in the store."""
+    roster = await make_roster(store)
+    assert await roster.update({"a": OPEN})
+    stand_in.faults.lose_every = 1
+    stand_in.faults.late_s = late_s
+    with pytest.raises(StoreUnclear):
+        await roster.update(unanswered)
+    stand_in.faults.lose_every = 0
+    while not await roster.update({"a": OPEN}):
+        pass
+    await asyncio.sleep(late_s)
+    assert (await make_roster(store)).entries == {"a": OPEN}
+    calls = stand_in.calls["txn"]
+    assert await roster.update({"a": OPEN})
+    assert stand_in.calls["txn"] == calls
+
+
 def test_entries_without_outstanding_jobs_are_read_as_open():
     roster = Roster(store=None, tenure=None)
     stored = b'[{"id":"a","address":"a:1","incarnation":1,"service":"pool"}]'
