Remove a member's key only if it is the one that the process wrote

A process that stops removes its key under a condition-less write. If that write gets no answer and is carried out seconds later, it takes away the key of the process that has started again under the name, which then is no member until its next lease.

The removal now expects the revision of the registration. The test failed before: the key of the second process was gone. No caller is known to have seen it.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -56,6 +56,7 @@
     _watcher: PrefixWatcher = field(init=False)
     _won: asyncio.Event = field(factory=asyncio.Event)
     _registered_lease_id: int = 0
+    _registered_revision: int = 0
     _vacant_since: float | None = None
     _election_seed: int = 0
     _overloaded_until: float = float("-inf")
@@ -83,8 +84,12 @@
             await asyncio.gather(self._term_task, return_exceptions=True)
         if lease is None:
             return
+        key = keys.MEMBERS + self.process.own.name
+        # Without the condition, a removal that is carried out late could remove the key that this
+        # process writes when it starts again.
+        registered = Expect(key=key, revision=self._registered_revision)
         try:
-            await self.process.store.commit(Txn(delete=(keys.MEMBERS + self.process.own.name,)))
+            await self.process.store.commit(Txn(expect=(registered,), delete=(key,)))
         except StoreError as exc:
             self.process.log.emit("member.not_removed", reason=str(exc)[:200])
 
@@ -221,7 +226,11 @@
     async def _register(self, lease: Lease) -> None:
         key = keys.MEMBERS + self.process.own.name
         value = encode_member(self._own_member())
-        await self.process.store.commit(Txn(put=(Put(key=key, value=value, lease_id=lease.id),)))
+        result = await self.process.store.commit(
+            Txn(put=(Put(key=key, value=value, lease_id=lease.id),))
+        )
+        if isinstance(result, Committed):
+            self._registered_revision = result.revision
         self._registered_lease_id = lease.id
         self.process.log.emit("member.registered", lease=lease.id)
 
--- a/tests/cell/test_candidate.py
+++ b/tests/cell/test_candidate.py
@@ -10,6 +10,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.candidate import Candidate
 from rhubarbferry.cell.members import CellView, Ownership, encode_member
+from rhubarbferry.platform.store import CALL_TIMEOUT_S
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Changes, Conflict, KeyPut, KeyValue, StoreUnavailable
 
@@ -52,6 +53,27 @@
     assert candidate.process.view.ownership.owner.name == "later"
 
 
+async def test_a_late_removal_leaves_the_key_of_a_process_that_has_started_again(store, stand_in):
+    """Guards against a running process that no other process counts as a member."""
+    candidate = make_candidate()
+    lease = SimpleNamespace(id=await store.grant_lease(5.0))
+    candidate.process.store = store
+    candidate.process.keeper = SimpleNamespace(valid_lease=lambda: lease, round_trip_s=0.0)
+    await candidate._register(lease)
+    stand_in.faults.lose_every = 1
+    stand_in.faults.late_s = CALL_TIMEOUT_S + 0.3
+    await candidate.leave()
+    stand_in.faults.lose_every = 0
+    again = make_candidate()
+    again.process.store = store
+    again.process.keeper = candidate.process.keeper
+    await again._register(lease)
+    await asyncio.sleep(stand_in.faults.late_s)
+    assert await store.get(keys.MEMBERS + "own") is not None
+    await again.leave()
+    assert await store.get(keys.MEMBERS + "own") is None
+
+
 class ContestedStore:
     """Fake store in which another process becomes the owner as soon as there is none.
 
