Call each incarnation of a host with a fence number of its own

Cause: a host that is back under its id can't tell calls that were meant for its earlier incarnation, since the header names the id and the fence number was the owner's. A late poll forgets ends by the earlier numbers and extends leases by the earlier clock; a late start runs.

Ruled out: a late call of the same incarnation, which extends leases only to a counted time.

The roster lists an incarnation before the host is called, and the revision of that write is the fence number of all calls to it: higher than all before, lower than a later owner's. A new incarnation is used once it has answered a call with it, by its own entry of the host list. A refusal of a call with a lower number no longer ends the ownership.

Stops of runs that an earlier incarnation may have been given are no longer needed; two tests asserted them. They now ask for what the stops were for: nothing is started elsewhere before the new incarnation has reported, and a late copy that it lists stays the task's run.

The state machine carries out late starts, stops and polls on whichever incarnation the host has by then, without its former condition, and delays polls. Without the new fence number both new step lists fail (an acknowledged end, a task that runs twice).

--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -74,6 +74,9 @@
 
     async def _poll(self, host: Host, *, no_wait: bool = False) -> bool:
         ctx = self.ctx
+        fence = host.fence
+        if fence is None:
+            return False
         sent_at = ctx.now()
         entry = host.entry
         deadline_s = host.extend_leases(sent_at, ctx.process.cfg.bounds.task_lease_s)
@@ -83,7 +86,7 @@
         acknowledged_to = host.acknowledgeable_end
         no_wait = no_wait or deadline_s is None or host.seen_end > acknowledged_to
         req = TaskLeaseRequest(
-            fence=ctx.tenure.fence,
+            fence=fence,
             deadline_s=deadline_s,
             acknowledged_to=acknowledged_to,
             wait_s=0.0 if no_wait else host.poll_wait_s,
@@ -92,33 +95,33 @@
         try:
             report = await ctx.process.workers.extend_leases(entry, req)
         except FenceStale as exc:
-            ctx.tenure.end(f"host {self.id}: {exc}")
+            ctx.handle_stale_fence(self.id, fence, str(exc))
             return False
         except WorkerGone as exc:
-            ctx.process.log.emit("host.gone", host=self.id, reason=str(exc))
-            ctx.dispatcher.host_gone(self.id, now=ctx.now())
-            ctx.wake.set()
+            if ctx.calls_with(host, fence):
+                ctx.process.log.emit("host.gone", host=self.id, reason=str(exc))
+                ctx.dispatcher.host_gone(self.id, now=ctx.now())
+                ctx.wake.set()
             return False
         except WorkerError as exc:
             host.poll_failed_at = ctx.now()
             ctx.process.log.emit("host.silent", host=self.id, reason=str(exc)[:200])
             return False
-        if host.entry.incarnation != entry.incarnation and (
-            report.incarnation != host.entry.incarnation
-        ):
+        if not ctx.calls_with(host, fence):
+            # The call was meant for an earlier incarnation, whichever has answered.
             return True
         if sent_at >= host.poll_failed_at:
             host.poll_failed_at = float("-inf")
         was_adopted = host.adopted
         ctx.dispatcher.handle_report(self.id, report, sent_at=sent_at, now=ctx.now())
-        if not was_adopted:
+        if host.adopted and not was_adopted:
             ctx.process.log.emit(
                 "host.adopted",
                 host=self.id,
                 incarnation=report.incarnation,
                 running=len(report.running),
                 ended=len(report.ended),
-                fence=ctx.tenure.fence,
+                fence=fence,
             )
         if host.seen_end > host.recorded_end:
             ctx.record.set()
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -94,8 +94,8 @@
 
     async def _start(self, order: StartOrder) -> None:
         with self._counted_call():
-            host = self.ctx.dispatcher.tracker.hosts[order.host]
-            if not self.ctx.tenure.holds():
+            host = self._find_host(order)
+            if host is None or host.entry.incarnation != order.incarnation:
                 self._release_start(order)
                 return
             await self._call_start(host, order)
@@ -110,11 +110,10 @@
 
     async def _call_start(self, host: Host, order: StartOrder) -> None:
         sent_at = self.ctx.now()
-        result = await self.ctx.process.workers.start(
-            host.entry, order, fence=self.ctx.tenure.fence
-        )
+        fence = _fence(host)
+        result = await self.ctx.process.workers.start(host.entry, order, fence=fence)
         now = self.ctx.now()
-        self.log.start(order, result, took_s=now - sent_at, fence=self.ctx.tenure.fence)
+        self.log.start(order, result, took_s=now - sent_at, fence=fence)
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
         self.ctx.wake.set()
 
@@ -146,12 +145,10 @@
         host = self._find_host(order)
         if host is None:
             return
-        incarnation = host.entry.incarnation
-        with self._log_failures(order, self.log.stop):
-            clock_s = await self.ctx.process.workers.stop(
-                host.entry, order, fence=self.ctx.tenure.fence
-            )
-            if host.entry.incarnation != incarnation:
+        fence = _fence(host)
+        with self._log_failures(order, fence, self.log.stop):
+            clock_s = await self.ctx.process.workers.stop(host.entry, order, fence=fence)
+            if not self.ctx.calls_with(host, fence):
                 # The former incarnation may have answered, and only the new one's word counts. The
                 # order is repeated with the next report.
                 self.log.stop(order, outcome="answered before the host's restart was noticed")
@@ -164,28 +161,30 @@
         host = self._find_host(order)
         if host is None:
             return
-        with self._log_failures(order, self.log.pace):
-            await self.ctx.process.workers.pace(host.entry, order, fence=self.ctx.tenure.fence)
+        fence = _fence(host)
+        with self._log_failures(order, fence, self.log.pace):
+            await self.ctx.process.workers.pace(host.entry, order, fence=fence)
             self.log.pace(order, outcome="taken")
             self.ctx.dispatcher.pace_answered(
                 order.host, order.task, order.attempt, order.percent, now=self.ctx.now()
             )
 
-    def _find_host(self, order: StopOrder | PaceOrder) -> Host | None:
+    def _find_host(self, order: StartOrder | StopOrder | PaceOrder) -> Host | None:
         """Return the host of an order, ``None`` if the order may not or can't be executed."""
         if not self.ctx.tenure.holds():
             return None
-        return self.ctx.dispatcher.tracker.hosts.get(order.host)
+        host = self.ctx.dispatcher.tracker.hosts.get(order.host)
+        return host if host is not None and host.fence is not None else None
 
     @contextmanager
     def _log_failures(
-        self, order: StopOrder | PaceOrder, log: Callable[..., None]
+        self, order: StopOrder | PaceOrder, fence: int, log: Callable[..., None]
     ) -> Iterator[None]:
         """Log an unanswered order, or end the tenure if the host has accepted a later owner."""
         try:
             yield
         except FenceStale as exc:
-            self.ctx.tenure.end(f"host {order.host}: {exc}")
+            self.ctx.handle_stale_fence(order.host, fence, str(exc))
         except WorkerError as exc:
             log(order, outcome=f"no answer: {exc}"[:200])
 
@@ -224,3 +223,8 @@
         finally:
             self._policy_requests.done(assignment.member.name)
             self.ctx.wake.set()
+
+
+def _fence(host: Host) -> int:
+    assert host.fence is not None, "the host may not be called yet"
+    return host.fence
--- a/rhubarbferry/cell/roster.py
+++ b/rhubarbferry/cell/roster.py
@@ -9,6 +9,7 @@
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.term_context import OwnershipLost, Tenure
+from rhubarbferry.dispatch.roster import next_fences
 from rhubarbferry.dispatch.takeover import RosterEntry
 from rhubarbferry.ports.store import Conflict, Expect, KeyValue, Put, Txn, TxnStore
 
@@ -26,11 +27,13 @@
     would start its tasks a second time.
 
     :ivar entries: the last entries that the store is known to have held.
+    :ivar fences: fence number of the calls to each of these hosts, by host id.
     """
 
     store: TxnStore
     tenure: Tenure
     entries: dict[str, RosterEntry] = field(factory=dict)
+    fences: dict[str, int] = field(factory=dict)
     revision: int = 0
     _write_unclear: bool = False
 
@@ -44,11 +47,8 @@
             return
         self.revision = item.mod_revision
         self.entries = {}
-        try:
-            entries = [cattrs.structure(entry, RosterEntry) for entry in json.loads(item.value)]
-        except Exception as exc:
-            raise RosterError(f"the stored roster is invalid: {exc!r:.300}") from exc
-        self.entries = {entry.id: entry for entry in entries}
+        self.entries = _decode(item)
+        self.fences = dict.fromkeys(self.entries, self.tenure.fence)
 
     def holds(self, id: str) -> bool:
         """Return whether a host is on the roster."""
@@ -81,9 +81,7 @@
         if isinstance(result, Conflict):
             self._handle_conflict(result)
             return False
-        self._write_unclear = False
-        self.revision = result.revision
-        self.entries = entries
+        self._set_stored(entries, result.revision)
         return True
 
     def _handle_conflict(self, conflict: Conflict) -> None:
@@ -92,5 +90,25 @@
             self.tenure.end("another process has taken over")
             raise OwnershipLost("another process has taken over")
         # An earlier write by this process took effect although its answer was lost.
+        item = conflict.items.get(keys.ROSTER)
+        if item is not None:
+            self._set_stored(_decode(item), item.mod_revision)
+
+    def _set_stored(self, entries: dict[str, RosterEntry], revision: int) -> None:
+        """Record the result of a write by this process."""
         self._write_unclear = False
-        self.load(conflict.items.get(keys.ROSTER))
+        self.fences = next_fences(self.fences, self.entries, entries, revision=revision)
+        self.revision = revision
+        self.entries = entries
+
+
+def _decode(item: KeyValue) -> dict[str, RosterEntry]:
+    """Decode a stored roster.
+
+    :raises RosterError: if the value is not a valid roster.
+    """
+    try:
+        entries = [cattrs.structure(entry, RosterEntry) for entry in json.loads(item.value)]
+    except Exception as exc:
+        raise RosterError(f"the stored roster is invalid: {exc!r:.300}") from exc
+    return {entry.id: entry for entry in entries}
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -27,7 +27,12 @@
 from rhubarbferry.dispatch.hosts import LEASE_EXPIRY_MARGIN_S, MAX_CLOCK_DRIFT
 from rhubarbferry.dispatch.job import JobPhase, JobStatus
 from rhubarbferry.dispatch.messages import HostEntry, Sizes
-from rhubarbferry.dispatch.roster import apply_roster, close_unavailable_hosts, next_roster
+from rhubarbferry.dispatch.roster import (
+    apply_roster,
+    assign_fences,
+    close_unavailable_hosts,
+    next_roster,
+)
 from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.ports.store import KeyValue, StoreError
 
@@ -311,7 +316,9 @@
             )
             self.ctx.dispatcher.host_listed(entry, now=self.ctx.now())
             self._start_polling(known.id)
-        apply_roster(self._roster.entries, self.ctx.dispatcher.tracker.hosts)
+        hosts = self.ctx.dispatcher.tracker.hosts
+        apply_roster(self._roster.entries, hosts)
+        assign_fences(self._roster.entries, self._roster.fences, hosts)
 
     async def _read_host_list(self) -> None:
         entries = {entry.id: entry for entry in await self.process.directory.hosts()}
@@ -326,6 +333,7 @@
                 if new:
                     apply_roster({entry.id: self._roster.entries[entry.id]}, hosts)
                 self._start_polling(entry.id)
+        assign_fences(self._roster.entries, self._roster.fences, hosts)
         for id, host in hosts.items():
             if id not in entries and host.listed:
                 self.process.log.emit("host.unlisted", host=id, runs=len(host.runs))
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -16,6 +16,7 @@
 from rhubarbferry.cell.routes import RouteTable
 from rhubarbferry.cell.settings import AdmissionSettings, CellSettings
 from rhubarbferry.dispatch.dispatcher import Dispatcher
+from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.ports.clock import Clock
 from rhubarbferry.ports.store import Expect, TxnStore
 from rhubarbferry.ports.workers import HostDirectory, PolicyService, WorkerCalls
@@ -135,6 +136,33 @@
         if any(job.phase.final for job in dirty.values()):
             self.job_ended.set()
 
+    def calls_with(self, host: Host, fence: int) -> bool:
+        """Return whether a fence number is still that of the calls to a host.
+
+        It is not once a restart of the host has been noticed.
+        """
+        return self.dispatcher.tracker.hosts.get(host.id) is host and host.fence == fence
+
+    def handle_stale_fence(self, id: str, fence: int, reason: str) -> None:
+        """End the ownership if a host has refused a call because of a later owner's call.
+
+        The host may as well have refused a call that was meant for its earlier incarnation.
+
+        :param id: id of the host.
+        :param fence: fence number of the refused call.
+        """
+        host = self.dispatcher.tracker.hosts.get(id)
+        if host is not None and host.fence == fence:
+            self.tenure.end(f"host {id}: {reason}")
+        else:
+            self.process.log.emit(
+                "host.refused_earlier_call",
+                host=id,
+                fence=fence,
+                current=host.fence if host is not None else None,
+                outcome="ignored",
+            )
+
     def now(self) -> float:
         """Return the monotonic time in seconds."""
         return self.process.clock.monotonic()
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -56,6 +56,8 @@
     """One incarnation of a host.
 
     :param quotas: counts its runs for the accounts of their jobs.
+    :param fence: fence number of all calls to this incarnation. It is ``None``, and the host is not
+        called, until the stored roster lists the incarnation.
     :param listed: whether the host list contains it.
     :param adopted: whether it has answered under the current owner's fence. Until then it may still
         carry out an earlier owner's orders, so it receives no tasks.
@@ -82,6 +84,7 @@
 
     entry: HostEntry
     quotas: Quotas = Factory(Quotas)
+    fence: int | None = None
     listed: bool = True
     adopted: bool = False
     closed: bool = False
--- a/rhubarbferry/dispatch/roster.py
+++ b/rhubarbferry/dispatch/roster.py
@@ -43,12 +43,15 @@
         if id in listed or id in hosts or id in unconfirmed:
             found[id] = _next_entry(entry, hosts.get(id), now)
     for id, host_entry in listed.items():
-        if id not in found:
+        known = found.get(id)
+        if known is None or known.incarnation < host_entry.incarnation:
             found[id] = RosterEntry(
                 id=id,
                 address=host_entry.address,
                 incarnation=host_entry.incarnation,
                 service=host_entry.service,
+                # The new incarnation may carry out orders that were sent to the earlier one.
+                outstanding=known.outstanding if known is not None else None,
             )
     return found
 
@@ -75,6 +78,43 @@
     return leaving or now - host.last_report_at >= host.silence_timeout_s
 
 
+def next_fences(
+    fences: Mapping[str, int],
+    before: Mapping[str, RosterEntry],
+    after: Mapping[str, RosterEntry],
+    *,
+    revision: int,
+) -> dict[str, int]:
+    """Return the fence number of the calls to each host once a new roster is stored.
+
+    A host that has restarted under its id can't tell that a call was meant for its earlier
+    incarnation, and may receive it seconds late. A new incarnation is therefore called with the
+    revision of the roster that lists it first. That is higher than the fence number of all earlier
+    calls, which the host refuses from then on, and lower than that of any later owner.
+
+    :param fences: fence numbers under the roster stored before.
+    :param before: roster stored before.
+    :param after: roster stored now.
+    :param revision: store revision of ``after``.
+    """
+    return {
+        id: (
+            fences[id] if id in before and before[id].incarnation == entry.incarnation else revision
+        )
+        for id, entry in after.items()
+    }
+
+
+def assign_fences(
+    roster: Mapping[str, RosterEntry], fences: Mapping[str, int], hosts: Mapping[str, Host]
+) -> None:
+    """Allow calls to the hosts whose incarnation the stored roster lists."""
+    for id, entry in roster.items():
+        host = hosts.get(id)
+        if host is not None and host.entry.incarnation == entry.incarnation:
+            host.fence = fences[id]
+
+
 def apply_roster(roster: Mapping[str, RosterEntry], hosts: Mapping[str, Host]) -> None:
     """Close and reopen hosts to match the stored roster; only open hosts may receive orders."""
     for id, entry in roster.items():
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -184,18 +184,11 @@
             if run.phase is RunPhase.RESERVED or (run.listed and not run.unanswered):
                 events.append(self._end_run(host, run, EndKind.LAPSED, "the host started anew"))
                 continue
-            answered = run.phase is RunPhase.RUNNING and not run.unanswered
+            # Either incarnation may have carried out the order, or the new one may still do so. Its
+            # first report decides: from then on it refuses the calls meant for the earlier one.
             run.phase = RunPhase.UNCLEAR
             run.listed = False
-            if answered:
-                # Either incarnation may have answered. The next report shows which one.
-                run.deadline_s = -math.inf
-                continue
-            # The new incarnation may carry out the order as well, and its clock starts again, so
-            # the deadline does not protect against that. Only a stop that the new incarnation has
-            # confirmed rules it out.
-            run.deadline_s = math.inf
-            self.stop(run, "its host started anew")
+            run.deadline_s = -math.inf
         restarted = HostRestarted(
             host=host.id,
             earlier=host.entry.incarnation,
@@ -203,6 +196,7 @@
             unclear=len(host.runs),
         )
         host.entry = entry
+        host.fence = None
         host.clock = None
         host.unknown_runs = {}
         host.adopted = False
@@ -218,14 +212,17 @@
     def handle_report(
         self, host: Host, report: HostReport, *, sent_at: float, now: float
     ) -> list[RunEvent]:
-        """Update the runs of a host from its report."""
+        """Update the runs of a host from its report.
+
+        The first report of a new incarnation only shows the restart. The host is not called again
+        until the host list contains its new entry.
+        """
         events: list[RunEvent] = []
-        if report.incarnation != host.entry.incarnation:
-            if report.incarnation < host.entry.incarnation:
-                return []
-            # The host has restarted and its entry in the host list is not up to date yet.
+        if report.incarnation < host.entry.incarnation:
+            return []
+        if report.incarnation > host.entry.incarnation:
             entry = evolve(host.entry, incarnation=report.incarnation)
-            events += self._handle_restart(host, entry, now)
+            return self._handle_restart(host, entry, now)
         if host.clock is not None and report.clock_s < host.clock.clock_s:
             # A later report has already arrived over another connection.
             return events
--- a/rhubarbferry/ports/workers.py
+++ b/rhubarbferry/ports/workers.py
@@ -31,7 +31,7 @@
 
 
 class FenceStale(WorkerError):
-    """The host has received a higher fence number, so another process is the owner now."""
+    """The host has received a higher fence number, of a later owner or for its new incarnation."""
 
 
 class PolicyBusy(WorkerError):
@@ -42,7 +42,7 @@
 class TaskLeaseRequest:
     """Request to extend the task leases of a host and to report its tasks.
 
-    :param fence: fence number of the owner that sends the request.
+    :param fence: fence number of the calls to the host's incarnation.
     :param deadline_s: time on the host's clock until which to extend the leases; ``None`` leaves
         them unchanged.
     :param acknowledged_to: highest number of an ended task that the host need not list any more.
@@ -60,8 +60,8 @@
 class WorkerCalls(Protocol):
     """Client for the task interface of hosts.
 
-    The parameter ``fence`` is the fence number of the owner; a host that has received a higher one
-    refuses the call.
+    The parameter ``fence`` is the fence number of the calls to the host's incarnation; a host that
+    has received a higher one refuses the call.
     """
 
     async def extend_leases(self, host: HostEntry, req: TaskLeaseRequest) -> HostReport:
