Skip members and hosts whose address can't be one

Other operators report processes that end again and again because of one odd entry among those of the hosts. Here no such entry of a host does it, shown with tables of tests and with fifteen entries at once in a cell of real processes. Of the same class, found on the way: a member's key with a port out of range or of 5,000 digits was accepted, and each call to that member raised OverflowError or ValueError, which nothing catches. Scoped, multicast, reserved and unspecified addresses were accepted as hosts; calls to them failed in handled ways.

Both are rejected when they are decoded.

--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from rhubarbferry.cell import keys
+from rhubarbferry.core.addresses import parse_port
 from rhubarbferry.ports.store import KeyDeleted, KeyPut, KeyValue, WatchEvent
 
 
@@ -63,13 +64,18 @@
     :raises ValueError: if the value does not describe a member.
     """
     try:
-        member = cattrs.structure(json.loads(value), Member)
+        fields = json.loads(value)
+        member = cattrs.structure(fields, Member)
     except Exception as exc:
         raise ValueError(f"invalid member record: {exc!r:.300}") from exc
     if not all(math.isfinite(x) for x in (member.store_s, member.cores, member.link_mbps)):
         raise ValueError("invalid member record: a number is not finite")
-    if not member.address.rpartition(":")[2].isdigit():
-        raise ValueError("invalid member record: the address has no port")
+    for name in ("name", "address", "region", "failure_domain"):
+        if not isinstance(fields[name], str):
+            raise ValueError(f"invalid member record: {name} is not a string")
+        # Calls to other processes carry it.
+        fields[name].encode()
+    parse_port(member.address.rpartition(":")[2])
     return member
 
 
--- a/rhubarbferry/platform/directory.py
+++ b/rhubarbferry/platform/directory.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Any
 
 from loguru import logger
 
+from rhubarbferry.core.addresses import check_host_address
 from rhubarbferry.dispatch.messages import HostEntry, HostPhase, Sizes
 from rhubarbferry.platform.documents import (
     DECODE_ERRORS,
@@ -87,8 +87,5 @@
 
 def _parse_address(value: Any) -> str:
     address = read_text(value)
-    ip, _, port = address.rpartition(":")
-    ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
-    if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 1 << 16:
-        raise InvalidDocument(f"not an ip:port address: {address!r:.100}")
+    check_host_address(address)
     return address
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -106,6 +106,63 @@
     harness.assert_nothing_twice()
 
 
+def host_entry(**literals: str) -> str:
+    """Return a host entry of which some fields are given as JSON literals."""
+    fields = {
+        "service": '"pool"',
+        "addr": '"127.0.0.1:9"',
+        "zone": '"z"',
+        "state": '"ready"',
+        "capacity": '{"cpu":1000,"memMb":100}',
+        "born": "1",
+        **literals,
+    }
+    return "{" + ",".join(f'"{name}":{value}' for name, value in fields.items()) + "}"
+
+
+DIGITS = "9" * 5000
+NESTED = "[" * 900 + "]" * 900
+ODD_ENTRIES = {
+    "servers/nested": "[" * 100_000,
+    "servers/nested-zone": host_entry(zone=NESTED),
+    "servers/nested-labels": host_entry(labels=NESTED),
+    "servers/many-digits": host_entry(born=DIGITS),
+    "servers/size-of-many-digits": host_entry(capacity=f'{{"cpu":{DIGITS},"memMb":1}}'),
+    "servers/port-out-of-range": host_entry(addr='"127.0.0.1:65536"'),
+    "servers/port-of-many-digits": host_entry(addr=f'"127.0.0.1:{DIGITS}"'),
+    "servers/no-text": host_entry(zone='"\\ud800"'),
+    "servers/scoped": host_entry(addr='"[::1%lo]:9"'),
+    "servers/nobody-listens": host_entry(),
+    "servers/far-future": host_entry(born=str(2**53 - 1)),
+    "servers/odd\u00fc key": host_entry(),
+    "cell/control/members/port": '{"name":"port","address":"127.0.0.1:65536","region":"r",'
+    '"failure_domain":"d"}',
+    "cell/control/members/digits": f'{{"name":"digits","address":"127.0.0.1:{DIGITS}",'
+    '"region":"r","failure_domain":"d"}',
+    "cell/control/members/nested": NESTED,
+}
+
+
+async def test_odd_entries_of_another_writer_end_no_process(harness):
+    """Guards against processes that end, or follow no list any more, because of one odd entry."""
+    fence = harness.store.engine.get("cell/control/owner").kv.mod_revision
+    for key, value in ODD_ENTRIES.items():
+        harness.store.engine.txn([], [Put(key=key, value=value.encode())])
+    await asyncio.sleep(4 * HOST_LIST_INTERVAL_S)
+    await harness.add_worker("later")
+    for id in ids(3):
+        assert await harness.submit(harness.members["one"], id, step(10)) == 200
+    for id in ids(3):
+        await harness.wait_for_state(harness.members["two"], id, "complete", within_s=8.0)
+    assert harness.workers["later"].history
+    assert harness.store.engine.get("cell/control/owner").kv.mod_revision == fence
+    assert [member.child.returncode for member in harness.members.values()] == [None] * 3
+    harness.owner().signal(signal.SIGTERM)
+    await asyncio.sleep(MEMBERSHIP_SYNC_S)
+    assert await harness.submit(harness.members[harness.owner_key_name()], ids(4)[3]) == 200
+    await harness.wait_for_state(harness.owner(), ids(4)[3], "complete", within_s=12.0)
+
+
 UNSCHEDULABLE_JOBS = {
     "a size beyond the range of floats": b'{"phases":[{"count":1,"cpu":1e308}]}',
     "a spec that is no text": b'{"phases":[{"count":1}],"spec":"\\ud800"}',
--- a/tests/cell/test_members.py
+++ b/tests/cell/test_members.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from attrs import evolve
 
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.members import (
@@ -141,7 +142,19 @@
     "a list": b"[]",
     "a missing field": b'{"name":"b"}',
     "an infinite number": encode_member(member("b", cores=1.5)).replace(b"1.5", b"1e999"),
+    "a number of too many digits": encode_member(member("b", cores=1.5)).replace(
+        b"1.5", b"9" * 5000
+    ),
+    "nested in a field": encode_member(member("b")).replace(b'"b"', b"[" * 900 + b"]" * 900, 1),
+    "a name that is no text": encode_member(member("b\ud800")),
+    "a region that is no text": encode_member(evolve(member("b"), region="\ud800")),
     "an address without a port": encode_member(member("b", address="b")),
+    "an address with a port out of range": encode_member(member("b", address="10.0.0.1:65536")),
+    "an address with port 0": encode_member(member("b", address="10.0.0.1:0")),
+    "an address with a port of many digits": encode_member(
+        member("b", address=f"10.0.0.1:{'9' * 5000}")
+    ),
+    "an address with other digits": encode_member(member("b", address="10.0.0.1:\u00b2")),
 }
 
 
--- a/tests/on_platform/test_decoding.py
+++ b/tests/on_platform/test_decoding.py
@@ -177,6 +177,19 @@
     "an address with a name": entry(addr="localhost:80"),
     "an address with a port out of range": entry(addr="10.0.0.1:65536"),
     "an address with other digits": entry(addr="10.0.0.1:\u00b2"),
+    "an address with port 0": entry(addr="10.0.0.1:0"),
+    "an address with a port of many digits": entry(addr=f"10.0.0.1:{'9' * 5000}"),
+    "an address with leading zeros": entry(addr=f"10.0.0.1:{'0' * 4000}80"),
+    "an address of a scope": entry(addr="[fe80::1%eth0]:80"),
+    "an IPv6 address without brackets": entry(addr="fe80::1:80"),
+    "an IPv4 address in brackets": entry(addr="[10.0.0.1]:80"),
+    "an address with one bracket": entry(addr="10.0.0.1]:80"),
+    "an unspecified address": entry(addr="0.0.0.0:80"),
+    "a multicast address": entry(addr="224.0.0.1:80"),
+    "an address for no host": entry(addr="255.255.255.255:80"),
+    "nested in a field": entry(zone="@").replace(b'"@"', b"[" * 900 + b"]" * 900),
+    "nested in the labels": entry(labels=["@"]).replace(b'"@"', b"[" * 900 + b"]" * 900),
+    "a zone that is no text": entry(zone="\ud800"),
     "no address": json.dumps({k: v for k, v in ENTRY.items() if k != "addr"}).encode(),
     "an address without a port": json.dumps({**ENTRY, "addr": "10.0.0.1"}).encode(),
     "an unknown state": json.dumps({**ENTRY, "state": "asleep"}).encode(),
@@ -207,6 +220,19 @@
     assert [entry.id for entry in await directory.hosts()] == ["i-1"]
 
 
+@pytest.mark.parametrize("address", ["10.0.0.1:65535", "127.0.0.1:1", "[fd00::1]:80"])
+def test_an_address_of_a_host_is_accepted(address):
+    assert decode_entry("i-1", {**ENTRY, "addr": address}).address == address
+
+
+@pytest.mark.parametrize("depth", range(900, 1000, 3))
+def test_an_entry_of_any_depth_is_skipped(depth):
+    """Guards against an entry that can be read and whose error message can't be written."""
+    value = entry(zone="@").replace(b'"@"', b"[" * depth + b"]" * depth)
+    item = KeyValue(key="servers/i-1", value=value, mod_revision=1, create_revision=1)
+    assert PlatformDirectory(store=_FixedStore())._decode_item(item) is None
+
+
 @pytest.mark.parametrize("id", ["", "i\r\nx: y", "i-\u00fc", "i-\ud800"])
 async def test_a_host_entry_with_an_invalid_id_is_skipped(id):
     """Guards against an id that can't be sent in the header of a call to the host."""
