--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -9,7 +9,7 @@
 from rhubarbferry.dispatch.messages import EndKind
 
 from .host_model import LEASE_S, HostModel, InvariantViolated
-from .test_dispatcher_machine import HOSTS, QUEUES, DispatcherMachine
+from .test_dispatcher_machine import HOSTS, QUEUES, DispatcherMachine, Fate
 
 URGENT = QUEUES[0]
 
@@ -78,6 +78,18 @@
     found.teardown()
 
 
+@pytest.mark.parametrize("ticks", [1, 4, 8, 12, 16])
+def test_late_start_that_reaches_a_new_incarnation_does_not_run_twice(ticks):
+    """Guards against a start that is carried out late on a host that has restarted under its id."""
+    found = machine()
+    found.set_fates(host=0, fates=[Fate.LATE])
+    submit(found, 1)
+    found.advance(ticks=ticks)
+    found.crash(host=0, restart=True)
+    found.advance(ticks=1)
+    found.teardown()
+
+
 def use_only(found: DispatcherMachine, host: HostModel) -> None:
     """Partition all other hosts until they get no tasks."""
     found.partitioned.update(set(found.oracle.hosts) - {host.id})
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.messages import (
@@ -14,7 +15,13 @@
     TaskId,
 )
 from rhubarbferry.dispatch.record import encode_state, restore_state
-from rhubarbferry.dispatch.roster import apply_roster, close_unavailable_hosts, next_roster
+from rhubarbferry.dispatch.roster import (
+    apply_roster,
+    assign_fences,
+    close_unavailable_hosts,
+    next_fences,
+    next_roster,
+)
 from rhubarbferry.dispatch.takeover import RosterEntry
 
 from .world import CORES, World, entry, job, step
@@ -247,6 +254,37 @@
     assert not world.dispatcher.tracker.hosts
 
 
+def test_a_restarted_host_is_called_once_the_roster_lists_its_new_entry():
+    """Guards against orders by the labels of an earlier incarnation, or to its address."""
+    world = World("a")
+    hosts = world.dispatcher.tracker.hosts
+    before = roster_of(world)
+    fences = next_fences({}, {}, before, revision=5)
+    assign_fences(before, fences, hosts)
+    assert hosts["a"].fence == 5
+    world.hosts["a"].incarnation = 2
+    world.deliver_reports()
+    roster = next_roster(before, {"a": entry("a")}, hosts, unconfirmed=(), now=world.now)
+    assign_fences(roster, next_fences(fences, before, roster, revision=6), hosts)
+    assert hosts["a"].fence is None
+    listed = evolve(entry("a", incarnation=2, labels=("b",)), address="elsewhere:1")
+    roster = next_roster(before, {"a": listed}, hosts, unconfirmed=(), now=world.now)
+    world.dispatcher.host_listed(listed, now=world.now)
+    assign_fences(roster, next_fences(fences, before, roster, revision=7), hosts)
+    assert (roster["a"].address, roster["a"].incarnation) == ("elsewhere:1", 2)
+    assert (hosts["a"].fence, hosts["a"].entry) == (7, listed)
+
+
+def test_a_new_incarnation_is_listed_with_the_jobs_of_the_earlier_one():
+    """Guards against a takeover that does not wait for orders that the new one may carry out."""
+    known = closed("a", "j")
+    world = World()
+    roster = next_roster(
+        {"a": known}, {"a": entry("a", incarnation=2)}, {}, unconfirmed=(), now=world.now
+    )
+    assert roster["a"] == evolve(known, incarnation=2)
+
+
 def test_an_earlier_owners_roster_entry_stays_until_the_host_answers():
     world = World(roster=("a",))
     known = closed("a", "j")
