Name the check of a call's fence number, and parse ports in one place

fence_is_current instead of calls_with; the check of settings uses core/addresses as well, so a port of 5,000 digits is a problem there and no traceback.

--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -98,7 +98,7 @@
             ctx.handle_stale_fence(self.id, fence, str(exc))
             return False
         except WorkerGone as exc:
-            if ctx.calls_with(host, fence):
+            if ctx.fence_is_current(host, fence):
                 ctx.process.log.emit("host.gone", host=self.id, reason=str(exc))
                 ctx.dispatcher.host_gone(self.id, now=ctx.now())
                 ctx.wake.set()
@@ -107,7 +107,7 @@
             host.poll_failed_at = ctx.now()
             ctx.process.log.emit("host.silent", host=self.id, reason=str(exc)[:200])
             return False
-        if not ctx.calls_with(host, fence):
+        if not ctx.fence_is_current(host, fence):
             # The call was meant for an earlier incarnation, whichever has answered.
             return True
         if sent_at >= host.poll_failed_at:
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -148,7 +148,7 @@
         fence = _fence(host)
         with self._log_failures(order, fence, self.log.stop):
             clock_s = await self.ctx.process.workers.stop(host.entry, order, fence=fence)
-            if not self.ctx.calls_with(host, fence):
+            if not self.ctx.fence_is_current(host, fence):
                 # The former incarnation may have answered, and only the new one's word counts. The
                 # order is repeated with the next report.
                 self.log.stop(order, outcome="answered before the host's restart was noticed")
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -136,10 +136,10 @@
         if any(job.phase.final for job in dirty.values()):
             self.job_ended.set()
 
-    def calls_with(self, host: Host, fence: int) -> bool:
-        """Return whether a fence number is still that of the calls to a host.
+    def fence_is_current(self, host: Host, fence: int) -> bool:
+        """Return whether calls to a host still have a fence number.
 
-        It is not once a restart of the host has been noticed.
+        They have another one, or none yet, once its restart has been noticed.
         """
         return self.dispatcher.tracker.hosts.get(host.id) is host and host.fence == fence
 
--- a/rhubarbferry/conf/checks.py
+++ b/rhubarbferry/conf/checks.py
@@ -10,11 +10,11 @@
 
 from rhubarbferry.conf.problems import Problem
 from rhubarbferry.conf.settings import Settings
+from rhubarbferry.core.addresses import MAX_PORT, parse_port
 
 Check = Callable[[Settings], Iterator[Problem]]
 
 CHECKS: list[Check] = []
-MAX_PORT = 65535
 # Settings for which 0 is valid and disables the feature.
 ZERO_DISABLES = frozenset({"longest_extension_s", "spill_margin_s"})
 
@@ -79,9 +79,10 @@
     ip, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
+        parse_port(port)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+    return True
 
 
 @register
