--- a/rhubarbferry/test/platform_worker.py
+++ b/rhubarbferry/test/platform_worker.py
@@ -97,6 +97,19 @@
         }
         self.store.put(f"servers/{self.id}", entry)
 
+    def restart(self) -> None:
+        """Start again under the same id; nothing of before is known."""
+        self._advance()
+        for run in self._running.values():
+            run.ended_at = time.monotonic()
+            run.end_reason = "lost"
+        self._born += 1
+        self.fence = self._ended_count = 0
+        self._lease_until = 0.0
+        self._running = {}
+        self._ended_attempts = {}
+        self._ended = []
+
     def _clock_ms(self) -> int:
         return int(time.monotonic() * 1000) - 50_000
 
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 
 import aiohttp
@@ -163,6 +164,32 @@
     await harness.wait_for_state(harness.owner(), ids(4)[3], "complete", within_s=12.0)
 
 
+async def test_a_restarted_host_refuses_the_calls_meant_for_its_earlier_incarnation(harness):
+    """Guards against a late poll by which a host forgets ends that no owner has read."""
+    one = harness.members["one"]
+    worker = harness.workers["w0"]
+    assert await harness.submit(one, ids(1)[0], step(20)) == 200
+    await harness.wait_for_state(one, ids(1)[0], "complete")
+    before = worker.fence
+    address = json.loads(harness.store.engine.get("servers/w0").kv.value)["addr"]
+    worker.restart()
+    worker.register(address)
+    for _ in range(100):
+        if worker.fence > before:
+            break
+        await asyncio.sleep(0.05)
+    assert worker.fence > before
+    late = {"fence": before, "ackIndex": 1000, "waitMs": 0}
+    headers = {"Rhubarbferry-Expect-Instance": "w0"}
+    url = f"http://{address}/api/hold"
+    async with harness.session.post(url, json=late, headers=headers) as resp:
+        assert resp.status == 409
+    assert await harness.submit(one, ids(2)[1], step(20)) == 200
+    await harness.wait_for_state(one, ids(2)[1], "complete")
+    assert any(run.task.startswith(ids(2)[1]) for run in worker.history)
+    harness.assert_nothing_twice()
+
+
 UNSCHEDULABLE_JOBS = {
     "a size beyond the range of floats": b'{"phases":[{"count":1,"cpu":1e308}]}',
     "a spec that is no text": b'{"phases":[{"count":1}],"spec":"\\ud800"}',
