--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -24,6 +24,16 @@
     found.submit(widths=list(widths), cores=1, gang=False, checkpointable=False, queue=URGENT)
 
 
+def run_one_task(found: DispatcherMachine) -> HostModel:
+    """Run a task until its owner has read its end; return its host."""
+    submit(found, 1)
+    found.advance(ticks=1)
+    (host,) = [host for host in found.oracle.hosts.values() if host.running]
+    found.end_run(pick=0, how=EndKind.DONE)
+    found.advance(ticks=1)
+    return host
+
+
 def test_run_answered_by_a_restarted_host_is_not_started_elsewhere():
     """Guards against ending a run that the host's new incarnation has started and answered."""
     found = machine()
@@ -64,11 +74,7 @@
 def test_task_with_an_unrecorded_end_is_not_started_again_while_its_host_is_cut_off(listed):
     """Guards against a new owner that takes a host for idle whose ends are in no stored state."""
     found = machine()
-    submit(found, 1)
-    found.advance(ticks=1)
-    (host,) = [host for host in found.oracle.hosts.values() if host.running]
-    found.end_run(pick=0, how=EndKind.DONE)
-    found.advance(ticks=1)
+    host = run_one_task(found)
     found.partitioned.add(host.id)
     found.unlisted.update(set() if listed else {host.id})
     found.advance(ticks=8)
@@ -99,11 +105,7 @@
 def test_ends_of_a_new_incarnation_survive_a_late_poll_of_the_earlier_one():
     """Guards against a host that forgets ends that no owner has read."""
     found = machine()
-    submit(found, 1)
-    found.advance(ticks=1)
-    (host,) = [host for host in found.oracle.hosts.values() if host.running]
-    found.end_run(pick=0, how=EndKind.DONE)
-    found.advance(ticks=1)
+    host = run_one_task(found)
     found.record()
     found.advance(ticks=1)
     found.delay_polls(int(host.id[1:]))
