Fill all hosts at once in the test of odd entries

So the failure was the test's: it asked for what is not promised. It now waits until the host has been called, submits one job that needs all four hosts at the same time, and asserts the same.

--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -150,12 +150,17 @@
     for key, value in ODD_ENTRIES.items():
         harness.store.engine.txn([], [Put(key=key, value=value.encode())])
     await asyncio.sleep(4 * HOST_LIST_INTERVAL_S)
-    await harness.add_worker("later")
-    for id in ids(3):
-        assert await harness.submit(harness.members["one"], id, step(10)) == 200
-    for id in ids(3):
-        await harness.wait_for_state(harness.members["two"], id, "complete", within_s=8.0)
-    assert harness.workers["later"].history
+    later = await harness.add_worker("later")
+    for _ in range(100):
+        if later.fence > 0:
+            break
+        await asyncio.sleep(0.05)
+    # The tasks need all hosts at the same time.
+    for worker in harness.workers.values():
+        worker.work_s = 2.0
+    assert await harness.submit(harness.members["one"], ids(1)[0], step(32)) == 200
+    await harness.wait_for_state(harness.members["two"], ids(1)[0], "complete", within_s=8.0)
+    assert later.history
     assert harness.store.engine.get("cell/control/owner").kv.mod_revision == fence
     assert [member.child.returncode for member in harness.members.values()] == [None] * 3
     harness.owner().signal(signal.SIGTERM)
