--- a/tests/cell/cell_harness.py
+++ b/tests/cell/cell_harness.py
@@ -223,6 +223,14 @@
             await asyncio.sleep(0.05)
         raise AssertionError("no process owns the cell")
 
+    async def wait_for_fence(self, worker: PlatformWorkerStandIn, *, above: int) -> None:
+        """Wait until a host has been called with a higher fence number."""
+        for _ in range(100):
+            if worker.fence > above:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"no call with a fence number above {above}")
+
     def owner_key_name(self) -> str:
         """Return the name that is stored in the owner's key, empty if there is no key."""
         stored = self.store.engine.get("cell/control/owner")
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -151,10 +151,7 @@
         harness.store.engine.txn([], [Put(key=key, value=value.encode())])
     await asyncio.sleep(4 * HOST_LIST_INTERVAL_S)
     later = await harness.add_worker("later")
-    for _ in range(100):
-        if later.fence > 0:
-            break
-        await asyncio.sleep(0.05)
+    await harness.wait_for_fence(later, above=0)
     # The tasks need all hosts at the same time.
     for worker in harness.workers.values():
         worker.work_s = 2.0
@@ -179,11 +176,7 @@
     address = json.loads(harness.store.engine.get("servers/w0").kv.value)["addr"]
     worker.restart()
     worker.register(address)
-    for _ in range(100):
-        if worker.fence > before:
-            break
-        await asyncio.sleep(0.05)
-    assert worker.fence > before
+    await harness.wait_for_fence(worker, above=before)
     late = {"fence": before, "ackIndex": 1000, "waitMs": 0}
     headers = {"Rhubarbferry-Expect-Instance": "w0"}
     url = f"http://{address}/api/hold"
