Give the members of each test process addresses of their own

All harnesses used 127.0.0.2 and up, and the ports are released before the member binds them.

Cause: the tests of cells were meant to run one after the other, by the mark xdist_group. So any two of them could take each other's port, and shared the port of the metrics.

Ruled out: outgoing connections (their local address is 127.0.0.1 here, and a port that one uses can be bound at 127.0.0.2).

Now each test process has a block of the loopback network, so its members share no address with those of other workers or other runs beside it. The peer server of test_admission_control.py listens at such an address too.

--- a/tests/cell/cell_harness.py
+++ b/tests/cell/cell_harness.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import json
 import os
 import signal
@@ -41,6 +42,10 @@
 PREFIX = "/q/"
 SERVICE = "pool"
 START_TIMEOUT_S = 20.0
+# The upper half of the loopback network, divided into a block for each test process.
+LOOPBACK_BASE = ipaddress.IPv4Address("127.128.0.0")
+LOOPBACK_BLOCKS = 2**17
+LOOPBACK_BLOCK_SIZE = 2**6
 
 
 def configuration(version: int = 1, *, prefixes: tuple[str, ...] = (PREFIX,), **queue) -> dict:
@@ -64,6 +69,18 @@
     return {"version": version, "routes": routes, "services": services, "limits": {}}
 
 
+def member_address(index: int, *, pid: int) -> str:
+    """Return the address of a member, which no other test process uses.
+
+    Members of several harnesses would otherwise compete for ports, as :func:`free_ports` releases
+    them before the member binds them, and for the port of the metrics.
+
+    :param pid: id of the test process.
+    """
+    assert 0 <= index < LOOPBACK_BLOCK_SIZE - 2
+    return str(LOOPBACK_BASE + (pid % LOOPBACK_BLOCKS) * LOOPBACK_BLOCK_SIZE + 1 + index)
+
+
 def free_ports(ip: str, count: int) -> list[int]:
     """Return distinct free ports of an address."""
     # All sockets stay open until the last port is known: a port that is released earlier may be
@@ -138,7 +155,7 @@
 
     async def start(self, name: str, *args: str) -> MemberProcess:
         # Each process needs its own address, because one of its ports is the same for all.
-        ip = self.addresses.setdefault(name, f"127.0.0.{2 + len(self.addresses)}")
+        ip = self.addresses.setdefault(name, member_address(len(self.addresses), pid=os.getpid()))
         ports = free_ports(ip, 3)
         text = SETTINGS.format(
             name=name,
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 
 import pytest
@@ -32,7 +33,7 @@
 from rhubarbferry.rpc.gen.ttypes import JobNoticeReply, KnownLoad
 from rhubarbferry.rpc.services import PEER
 from rhubarbferry.test.fake_clock import FakeClock
-from tests.cell.cell_harness import free_ports
+from tests.cell.cell_harness import free_ports, member_address
 
 from .fakes import QUEUE, FakeEventLog, member, record
 
@@ -317,7 +318,8 @@
         store_reached=None,
         take_over=None,
     )
-    address = f"127.0.0.1:{free_ports('127.0.0.1', 1)[0]}"
+    ip = member_address(0, pid=os.getpid())
+    address = f"{ip}:{free_ports(ip, 1)[0]}"
     await server.start(address)
     return server, member("owner", address=address)
 
--- a/tests/cell/test_admission_processes.py
+++ b/tests/cell/test_admission_processes.py
@@ -11,7 +11,7 @@
 
 from .cell_harness import HOST, PREFIX, CellHarness, MemberProcess, configuration, step
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
+pytestmark = pytest.mark.processes
 
 NAMES = ("one", "two", "three")
 WORK_S = 2.0
--- a/tests/cell/test_cell.py
+++ b/tests/cell/test_cell.py
@@ -15,7 +15,7 @@
 
 from .cell_harness import HOST, CellHarness, configuration, step
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("platform")]
+pytestmark = pytest.mark.processes
 
 # Time after which each process has received the membership of all others.
 MEMBERSHIP_SYNC_S = 1.0
--- a/tests/cell/test_cell_harness.py
+++ b/tests/cell/test_cell_harness.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import os
 import signal
 import sys
 import time
 
-from .cell_harness import MemberProcess
+from .cell_harness import LOOPBACK_BLOCK_SIZE, LOOPBACK_BLOCKS, MemberProcess, member_address
 
 EXIT_TIMEOUT_S = 5.0
 
@@ -32,3 +33,15 @@
     member = MemberProcess(name="one", child=child, output=tmp_path / "log", front="", health="")
     member.signal(signal.SIGKILL)
     assert await child.wait() == 0
+
+
+def test_members_of_two_test_processes_have_different_addresses():
+    """Guards against a member that can't start since another test process has taken its port."""
+    pids = (1, 2, 3, LOOPBACK_BLOCKS - 1, LOOPBACK_BLOCKS)
+    indexes = (0, 1, LOOPBACK_BLOCK_SIZE - 3)
+    found = [member_address(index, pid=pid) for pid in pids for index in indexes]
+    assert len(set(found)) == len(found)
+    network = ipaddress.ip_network("127.0.0.0/8")
+    for address in map(ipaddress.ip_address, found):
+        assert address in network
+        assert address not in (network.network_address, network.broadcast_address)
