Keep a start without a ticket while a late copy may still be carried out

Cause: a start order that got no answer was given up by its deadline, by a stop, or by the end of all leases, and its task started elsewhere. The host refuses a late copy by the first two. A host that starts anew under its id knows of none of them, and carries the copy out if it comes before the owner's first call with the new fence number. A ticket rules that out, since it is valid for one incarnation.

Now a run whose order has no ticket and an unanswered copy is kept until no copy can be late (MAX_ORDER_DELAY_S), or until the new incarnation has answered. Its room stays taken too, as the copy would take it. Starts with a ticket are given up as before.

The new table of tests fails without the change for the deadline, the stop and the leases.

--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -83,7 +83,8 @@
         run, whose pace an earlier owner may have changed.
     :param pace_sent_at: when the last pace order was sent.
     :param order: last start order that was sent; ``None`` for an adopted run.
-    :param unanswered: whether any copy of the start order was sent and not answered.
+    :param unanswered_at: when a copy of the start order was last found to be unanswered; ``-inf``
+        if all copies were answered.
     :param listed: whether a report of the host's current incarnation has listed it.
     """
 
@@ -101,9 +102,14 @@
     pace: int | None = None
     pace_sent_at: float = -math.inf
     order: StartOrder | None = None
-    unanswered: bool = False
+    unanswered_at: float = -math.inf
     listed: bool = False
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether any copy of the start order was sent and not answered."""
+        return self.unanswered_at > -math.inf
+
     def remaining_s(self, now: float) -> float:
         """Return the estimated remaining time; 0 for a run that is being stopped."""
         if self.stopping:
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -7,7 +7,7 @@
 
 from attrs import Factory, define, evolve, frozen
 
-from rhubarbferry.dispatch.hosts import Host
+from rhubarbferry.dispatch.hosts import MAX_ORDER_DELAY_S, Host
 from rhubarbferry.dispatch.job import Job, Run, RunPhase, Step, Task
 from rhubarbferry.dispatch.messages import (
     EndedTask,
@@ -361,8 +361,12 @@
                 continue
             # `deadline_s` is a time on the host's clock: for an order, when the host starts to
             # refuse it; for a run, when it was last known to run. A report made after that time
-            # which does not list the run proves that it has ended or will never start.
-            if run.phase is not RunPhase.ORDERED and report.clock_s > run.deadline_s:
+            # which does not list the run proves that it has ended or will never start, unless the
+            # host restarts.
+            if _may_start_after_restart(run, host, now):
+                if run.stopping:
+                    self._retry_stop(run, now)
+            elif run.phase is not RunPhase.ORDERED and report.clock_s > run.deadline_s:
                 detail = "not started in time" if run.phase is RunPhase.UNCLEAR else "not listed"
                 events.append(self._end_run(host, run, EndKind.LAPSED, detail))
             elif run.stopping:
@@ -413,7 +417,7 @@
                     )
                 ]
             case Unanswered():
-                run.unanswered = True
+                run.unanswered_at = now
                 if not self._retry(host, run, now):
                     self._mark_unclear(host, run, now)
                 return []
@@ -446,10 +450,16 @@
         events: list[RunEvent] = []
         for host in list(self.hosts.values()):
             if host.leases_expired(now) or host.silent_since_restart(now, self.lease_s):
-                host.clock = None
+                lapsed = [
+                    run
+                    for run in host.runs.values()
+                    if not _may_start_after_restart(run, host, now)
+                ]
+                if len(lapsed) == len(host.runs):
+                    host.clock = None
                 events += [
                     self._end_run(host, run, EndKind.LAPSED, "the host is silent past its leases")
-                    for run in list(host.runs.values())
+                    for run in lapsed
                 ]
             # An adopted host without runs is idle, even if its leases have not expired. It is
             # removed at once; otherwise the next takeover would wait for a host that has left. A
@@ -564,3 +574,19 @@
 
 def _sent_to_earlier_incarnation(run: Run, host: Host) -> bool:
     return run.order is not None and run.order.incarnation != host.entry.incarnation
+
+
+def _may_start_after_restart(run: Run, host: Host, now: float) -> bool:
+    """Return whether a late copy of a run's start order may be carried out if its host restarts.
+
+    The host refuses such a copy after the order's deadline or a stop. An incarnation that starts
+    anew knows of neither, and may receive the copy before it is called with its own fence number.
+    Only a ticket rules this out, since it is valid for one incarnation.
+    """
+    order = run.order
+    return (
+        order is not None
+        and not order.ticket
+        and order.incarnation == host.entry.incarnation
+        and now < run.unanswered_at + MAX_ORDER_DELAY_S
+    )
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -9,7 +9,7 @@
 from rhubarbferry.dispatch.messages import EndKind
 
 from .host_model import LEASE_S, HostModel, InvariantViolated
-from .test_dispatcher_machine import HOSTS, QUEUES, DispatcherMachine, Fate
+from .test_dispatcher_machine import HOSTS, QUEUES, TICK_S, DispatcherMachine, Fate
 
 URGENT = QUEUES[0]
 
@@ -96,6 +96,46 @@
     found.teardown()
 
 
+def restart_before_late_calls(found: DispatcherMachine) -> None:
+    """Restart the first host in the tick in which the late calls are carried out."""
+    (call,) = found.late_calls
+    while call.at > found.now + TICK_S:
+        found.advance(ticks=1)
+    found.crash(host=0, restart=True)
+    found.advance(ticks=1)
+    assert not found.late_calls
+
+
+def test_late_copy_of_a_start_does_not_repeat_a_task_that_has_ended():
+    """Guards against a task that is done twice, once by each of two copies of its start order."""
+    found = machine()
+    found.set_fates(host=0, fates=[Fate.LATE, Fate.ANSWERED])
+    submit(found, 1)
+    found.advance(ticks=2)
+    found.end_run(pick=0, how=EndKind.DONE)
+    found.advance(ticks=1)
+    found.record()
+    found.advance(ticks=1)
+    restart_before_late_calls(found)
+    found.teardown()
+
+
+def test_late_start_of_an_earlier_owner_does_not_run_beside_the_next_one():
+    """Guards against a late start whose task a new owner has started on another host."""
+    found = machine()
+    found.set_fates(host=0, fates=[Fate.LATE])
+    found.submit(widths=[3], cores=3, gang=False, checkpointable=False, queue=QUEUES[1])
+    found.advance(ticks=1)
+    found.heal()
+    found.take_over()
+    # The urgent task takes the first host, so the task with the late start runs elsewhere.
+    found.submit(widths=[1], cores=3, gang=False, checkpointable=False, queue=URGENT)
+    found.advance(ticks=1)
+    found.end_run(pick=1, how=EndKind.DONE)
+    restart_before_late_calls(found)
+    found.teardown()
+
+
 def use_only(found: DispatcherMachine, host: HostModel) -> None:
     """Partition all other hosts until they get no tasks."""
     found.partitioned.update(set(found.oracle.hosts) - {host.id})
--- a/tests/dispatch/test_retries.py
+++ b/tests/dispatch/test_retries.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
+from rhubarbferry.dispatch.hosts import MAX_ORDER_DELAY_S
 from rhubarbferry.dispatch.job import RunPhase
 from rhubarbferry.dispatch.messages import Refusal, Refused, Started, StopOrder, Unanswered
 from rhubarbferry.dispatch.retries import START_TIMEOUTS_S
 
-from .world import World, job, step
+from .world import LEASE_S, World, job, step
 
 TIMEOUT_S = START_TIMEOUTS_S[0]
 
@@ -113,6 +115,38 @@
     assert not carried_out_late or run_of(world, order).phase is RunPhase.RUNNING
 
 
+@pytest.mark.parametrize("settled_by", ["its deadline", "a stop", "the end of all leases"])
+@pytest.mark.parametrize(
+    ("ticket", "earliest_s", "latest_s"),
+    [
+        pytest.param("", MAX_ORDER_DELAY_S, MAX_ORDER_DELAY_S + 0.5, id="without a ticket"),
+        pytest.param("ticket", 0.0, LEASE_S + 1.0, id="with a ticket"),
+    ],
+)
+def test_a_start_is_not_given_up_while_a_late_copy_could_reach_a_restarted_host(
+    settled_by, ticket, earliest_s, latest_s
+):
+    """Guards against a second run of a task if its host restarts after the start was given up."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    order = first_start(world)
+    run_of(world, order).order = evolve(order, ticket=ticket)
+    for _ in START_TIMEOUTS_S:
+        world.answer(order, Unanswered())
+    world.starts()
+    unanswered_at = world.now
+    if settled_by == "a stop":
+        world.dispatcher.stop_answered(order.host, order.task, order.attempt, world.now + 100.0)
+    silent = {order.host} if settled_by == "the end of all leases" else set()
+    again = []
+    while not again and world.now < unanswered_at + 30:
+        world.now += 0.25
+        world.deliver_reports(*(set(world.hosts) - silent))
+        again = world.starts()
+    assert [item.task for item in again] == [order.task]
+    assert earliest_s <= world.now - unanswered_at <= latest_s
+
+
 def test_a_stopped_start_is_not_sent_again():
     """Guards against a retry of a start order after the client has cancelled the job."""
     world = World("a")
