--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(PY) -c "from importlinter.cli import lint_imports; import sys; sys.exit(lint_imports(no_cache=True))"
 
 unit:
-	$(PY) -m pytest -n $(WORKERS) --dist load
+	$(PY) -m pytest -n $(WORKERS) --dist loadgroup
 
 models:
 	bash spec/check.sh
