Retry the stop of an unlisted run in one place

_end_unlisted had the same branch twice since starts without a ticket are kept; one condition does it, with the same outcome for each combination. Roster.load no longer resets the entries before it sets them: it is called once for each term, and no longer after a conflict. Behaviour is unchanged.

--- a/rhubarbferry/cell/roster.py
+++ b/rhubarbferry/cell/roster.py
@@ -46,7 +46,6 @@
         if item is None:
             return
         self.revision = item.mod_revision
-        self.entries = {}
         self.entries = _decode(item)
         self.fences = dict.fromkeys(self.entries, self.tenure.fence)
 
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -363,10 +363,8 @@
             # refuse it; for a run, when it was last known to run. A report made after that time
             # which does not list the run proves that it has ended or will never start, unless the
             # host restarts.
-            if _may_start_after_restart(run, host, now):
-                if run.stopping:
-                    self._retry_stop(run, now)
-            elif run.phase is not RunPhase.ORDERED and report.clock_s > run.deadline_s:
+            settled = run.phase is not RunPhase.ORDERED and report.clock_s > run.deadline_s
+            if settled and not _may_start_after_restart(run, host, now):
                 detail = "not started in time" if run.phase is RunPhase.UNCLEAR else "not listed"
                 events.append(self._end_run(host, run, EndKind.LAPSED, detail))
             elif run.stopping:
