Test processes under clients that ignore the limits of requests

The bounds are the limits in the settings of the process.

They must not run beside other tests, so they have a mark and a run of pytest of their own.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(PY) -c "from importlinter.cli import lint_imports; import sys; sys.exit(lint_imports(no_cache=True))"
 
 unit:
-	$(PY) -m pytest -n $(WORKERS) --dist loadgroup
+	$(PY) -m pytest -n $(WORKERS) --dist loadgroup -m "not alone"
+	$(PY) -m pytest -n 0 -m alone
 
 models:
 	bash spec/check.sh
--- a/tests/cell/cell_harness.py
+++ b/tests/cell/cell_harness.py
@@ -15,6 +15,7 @@
 import aiohttp
 from attrs import Factory, define, field
 
+from rhubarbferry.platform.settings import METRICS_PORT
 from rhubarbferry.test.platform_store import PlatformStoreStandIn
 from rhubarbferry.test.platform_worker import PlatformPolicyStandIn, PlatformWorkerStandIn
 from rhubarbferry.test.serving import bind, serving
@@ -35,6 +36,8 @@
 readiness = "{ip}:{health_port}"
 [bounds]
 graceS = 6
+[limits]
+{limits}
 [platform]
 addr = "{store}"
 """
@@ -48,7 +51,13 @@
 LOOPBACK_BLOCK_SIZE = 2**6
 
 
-def configuration(version: int = 1, *, prefixes: tuple[str, ...] = (PREFIX,), **queue) -> dict:
+def configuration(
+    version: int = 1,
+    *,
+    prefixes: tuple[str, ...] = (PREFIX,),
+    limits: dict[str, int] | None = None,
+    **queue,
+) -> dict:
     routes = [
         {
             "name": f"route{prefix}",
@@ -66,7 +75,7 @@
         for prefix in prefixes
     ]
     services = [{"name": SERVICE, "rejectsOverload": False}]
-    return {"version": version, "routes": routes, "services": services, "limits": {}}
+    return {"version": version, "routes": routes, "services": services, "limits": limits or {}}
 
 
 def member_address(index: int, *, pid: int) -> str:
@@ -99,6 +108,8 @@
     output: Path
     front: str
     health: str
+    peers: str = ""
+    metrics: str = ""
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal unless the process has exited."""
@@ -128,6 +139,8 @@
     workers: dict[str, PlatformWorkerStandIn] = Factory(dict)
     members: dict[str, MemberProcess] = Factory(dict)
     addresses: dict[str, str] = Factory(dict)
+    # Resource limits in the settings file of each process.
+    limits: dict[str, int] = Factory(dict)
     store_address: str = ""
     policy_address: str = ""
     session: aiohttp.ClientSession = field(init=False)
@@ -165,6 +178,7 @@
             health_port=ports[2],
             store=self.store_address,
             advisor=f'advisor = "{self.policy_address}"',
+            limits="\n".join(f"{key} = {value}" for key, value in self.limits.items()),
         )
         path = self.dir / f"{name}.toml"
         path.write_text(text)
@@ -185,6 +199,8 @@
             output=output,
             front=f"{ip}:{ports[1]}",
             health=f"{ip}:{ports[2]}",
+            peers=f"{ip}:{ports[0]}",
+            metrics=f"{ip}:{METRICS_PORT}",
         )
         self.members[name] = member
         return member
