Limit each part of a request by the bytes that are read

Seen by callers: a process that is out of memory, after a header, a target or empty lines without an end.

Cause: the limit on headers was checked when the parser reports a header, which it does when the header is complete. Target, empty lines, chunk extensions and trailers had no limit. Ruled out: many small headers, for which the limit of 200 held.

RequestReader passes the stream to the parser in pieces that end where a part of a request ends, and counts them. A part past its limit is refused before the parser gets the excess. Own framing instead of the parser's was not needed: the parser alone decides what is valid, and a request for which both differ is refused.

Trailers are no longer added to the headers of a request that has begun: 200 small trailers were refused.

--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -9,8 +9,10 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-MAX_HEADER_BYTES = 64 * 1024
-MAX_HEADERS = 200
+from rhubarbferry.serving.closures import RequestRefused
+from rhubarbferry.serving.limits import RequestLimits
+from rhubarbferry.serving.request_reader import Part, RequestReader
+
 FLUSH_THRESHOLD_BYTES = 64 * 1024
 # Key in the scope of a request for a function that closes its connection without a response. It is
 # for requests with an unknown outcome, about which any response could be wrong.
@@ -96,33 +98,50 @@
 
 
 class BoundedHttpProtocol(HttpToolsProtocol):
-    """Limit the size of request headers and respond to malformed requests."""
+    """Limit the size of each part of a request and respond to malformed requests."""
 
-    _header_bytes = 0
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._reader = RequestReader(parser=self.parser, limits=RequestLimits)
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start serving a connection."""
         super().connection_made(BatchingTransport(transport))
 
+    def data_received(self, data: bytes) -> None:
+        """Read requests."""
+        self._unset_keepalive_if_required()
+        pos = 0
+        try:
+            while pos < len(data):
+                if self._reader.part is Part.COMPLETE:
+                    self._reader.begin()
+                pos = self._reader.feed(data, pos)
+        except RequestRefused as exc:
+            self.send_400_response(str(exc))
+
     def on_message_begin(self) -> None:
-        """Reset the header count for the next request."""
-        self._header_bytes = 0
+        """Begin a request."""
+        self._reader.on_message_begin()
         super().on_message_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header, unless the headers exceed their limits."""
-        # The parser has no limit of its own, so a client could exhaust the memory with headers.
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEADER_BYTES or len(self.headers) >= MAX_HEADERS:
-            raise ValueError("headers too large")
-        super().on_header(name, value)
+        """Add a header; trailers are ignored, since the request may be in progress."""
+        if self._reader.on_header(name, value):
+            super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Start a request and add the abort function to its scope."""
         super().on_headers_complete()
+        self._reader.on_headers_complete()
         scope: dict[str, Any] = self.scope  # type: ignore[assignment]
         scope[ABORT] = self.transport.abort
 
+    def on_message_complete(self) -> None:
+        """End a request."""
+        self._reader.on_message_complete()
+        super().on_message_complete()
+
     def send_400_response(self, msg: str) -> None:
         """Respond to a malformed request and close the connection."""
         # When the error is in the body, part of the request may already have been forwarded.
--- /dev/null
+++ b/rhubarbferry/serving/limits.py
@@ -0,0 +1,22 @@
+"""Limits of requests."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+from attrs.validators import gt
+
+KIB = 1024
+
+
+@frozen(kw_only=True, slots=True)
+class RequestLimits:
+    """Limits of one request.
+
+    :param head_bytes: largest head of a request in bytes: the request line and the headers with
+        their line ends. The same number of bytes is accepted as empty lines before the request
+        line, and as extensions and trailers of a chunked body.
+    :param headers: largest number of headers.
+    """
+
+    head_bytes: int = field(default=64 * KIB, validator=gt(0))
+    headers: int = field(default=200, validator=gt(0))
