Parse a request only after the response to the one before it

Seen by callers: a process out of memory after many requests that were sent ahead, also at the readiness and the metrics address. And a false answer: a valid submission with malformed bytes behind it in the same segment got 400, and its job ran.

Cause of both: all requests of a read, up to 256 KiB, were parsed at once. Each was a scope and an entry of a queue, and the refusal of a malformed one was written past the responses that were owed. Ruled out: the application, which was called for one request of a connection at a time.

What is read beyond a request is kept as bytes, and reading stays paused until it has been used up; the application's receive() doesn't resume it.

--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from rhubarbferry.serving.closures import RequestRefused
@@ -97,28 +98,78 @@
         return self._inner.get_protocol()
 
 
+class ReadGate(FlowControl):
+    """Flow control that doesn't resume reading while the gate is closed."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self._closed = False
+
+    def close(self) -> None:
+        """Pause reading until the gate is opened."""
+        self._closed = True
+        self.pause_reading()
+
+    def open(self) -> None:
+        """Let reading be resumed."""
+        self._closed = False
+
+    def resume_reading(self) -> None:
+        """Resume reading unless the gate is closed."""
+        if not self._closed:
+            super().resume_reading()
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Limit the size of each part of a request and respond to malformed requests."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._reader = RequestReader(parser=self.parser, limits=RequestLimits)
+        # What the client sent behind a request to which a response is owed.
+        self._unread = b""
+        self._unread_from = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start serving a connection."""
-        super().connection_made(BatchingTransport(transport))
+        batching = BatchingTransport(transport)
+        super().connection_made(batching)
+        self._gate = ReadGate(batching)
+        self.flow = self._gate
 
     def data_received(self, data: bytes) -> None:
-        """Read requests."""
+        """Read the next request, unless a response is owed to the one before it."""
         self._unset_keepalive_if_required()
-        pos = 0
+        if self._unread:
+            self._unread = self._unread[self._unread_from :] + data
+            self._unread_from = 0
+        else:
+            self._read(data, 0)
+
+    def _read(self, data: bytes, start: int) -> None:
+        pos = start
         try:
-            while pos < len(data):
+            while pos < len(data) and not self.transport.is_closing():
                 if self._reader.part is Part.COMPLETE:
+                    if not self.cycle.response_complete:
+                        self._unread, self._unread_from = data, pos
+                        self._gate.close()
+                        return
                     self._reader.begin()
                 pos = self._reader.feed(data, pos)
         except RequestRefused as exc:
-            self.send_400_response(str(exc))
+            self._refuse(exc)
+
+    def on_response_complete(self) -> None:
+        """Read the next request of the connection."""
+        super().on_response_complete()
+        if not self._unread or self.transport.is_closing():
+            return
+        self._unset_keepalive_if_required()
+        unread, self._unread = self._unread, b""
+        self._gate.open()
+        self._read(unread, self._unread_from)
+        self._gate.resume_reading()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -142,12 +193,19 @@
         self._reader.on_message_complete()
         super().on_message_complete()
 
-    def send_400_response(self, msg: str) -> None:
-        """Respond to a malformed request and close the connection."""
+    def _refuse(self, exc: RequestRefused) -> None:
+        """Respond to the request that is being read, and close the connection.
+
+        The requests before it have been answered.
+        """
         # When the error is in the body, part of the request may already have been forwarded.
-        begun = self.cycle is not None and not self.cycle.response_complete
+        begun = self._reader.head_complete
         if not (begun and self.cycle.response_started):
             self.transport.write(self.bad_request(headers_complete=begun))
+        if begun:
+            # The application must not respond as well.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
         self.transport.close()
 
     def bad_request(self, *, headers_complete: bool) -> bytes:
