Bound the rest of a body that is read after its response

Seen by callers: nothing; a client that goes on sending after a 413 kept the process busy without an end.

Cause: what comes of a body after its response was parsed and dropped without a limit. Closing at once instead would reset the connection, and clients would not get to read the 413; so as many bytes as the largest body are read first.

--- a/rhubarbferry/serving/closures.py
+++ b/rhubarbferry/serving/closures.py
@@ -15,6 +15,7 @@
     HEADERS = "headers"
     EMPTY_LINES = "empty_lines"
     CHUNK_OVERHEAD = "chunk_overhead"
+    UNREAD_BODY = "unread_body"
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -10,10 +10,11 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from rhubarbferry.serving.closures import RequestRefused
+from rhubarbferry.serving.closures import Reason, RequestRefused
 from rhubarbferry.serving.limits import RequestLimits
 from rhubarbferry.serving.request_reader import Part, RequestReader
 
+LIMITS = RequestLimits()
 FLUSH_THRESHOLD_BYTES = 64 * 1024
 # Key in the scope of a request for a function that closes its connection without a response. It is
 # for requests with an unknown outcome, about which any response could be wrong.
@@ -125,10 +126,11 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self._reader = RequestReader(parser=self.parser, limits=RequestLimits)
+        self._reader = RequestReader(parser=self.parser, limits=lambda: LIMITS)
         # What the client sent behind a request to which a response is owed.
         self._unread = b""
         self._unread_from = 0
+        self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start serving a connection."""
@@ -156,10 +158,20 @@
                         self._gate.close()
                         return
                     self._reader.begin()
-                pos = self._reader.feed(data, pos)
+                    self._discarded_bytes = 0
+                end = self._reader.feed(data, pos)
+                if self._reader.head_complete and self.cycle.response_complete:
+                    self._discard(end - pos)
+                pos = end
         except RequestRefused as exc:
             self._refuse(exc)
 
+    def _discard(self, size: int) -> None:
+        limit = LIMITS.body_bytes
+        self._discarded_bytes += size
+        if self._discarded_bytes > limit:
+            raise RequestRefused(Reason.UNREAD_BODY, limit)
+
     def on_response_complete(self) -> None:
         """Read the next request of the connection."""
         super().on_response_complete()
--- a/rhubarbferry/serving/limits.py
+++ b/rhubarbferry/serving/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from attrs import field, frozen
-from attrs.validators import gt
+from attrs.validators import ge, gt
 
 KIB = 1024
 
@@ -16,7 +16,10 @@
         their line ends. The same number of bytes is accepted as empty lines before the request
         line, and as extensions and trailers of a chunked body.
     :param headers: largest number of headers.
+    :param body_bytes: most bytes of a body that are read after its response has been sent. The
+        application limits the body itself.
     """
 
     head_bytes: int = field(default=64 * KIB, validator=gt(0))
     headers: int = field(default=200, validator=gt(0))
+    body_bytes: int = field(default=256 * KIB, validator=ge(0))
