Follow all four limits of the operator's configuration

Seen by callers: heads of 64 KiB were accepted where 16 KiB are configured, idle connections were kept for 75 s instead of 15 s, and a connection with half a request was kept without a limit.

Cause: only the largest body was decoded, and timers were set after a response only.

A listener reads its limits for each request, so a new configuration changes them without a restart. A limit that is not positive has its default: refusing the configuration would keep its routes from all processes.

The allowance of 2 s covers one segment that is transmitted again and a round trip between regions. Frontends have the same limits as settings, with the values they had; the time for a head is new.

--- a/rhubarbferry/cell/routes.py
+++ b/rhubarbferry/cell/routes.py
@@ -23,18 +23,27 @@
     public: bool = False
 
 
-# Largest request body accepted while no limit is configured.
+# Limits while none are configured.
+DEFAULT_HEAD_BYTES = 16_384
 DEFAULT_BODY_BYTES = 262_144
+DEFAULT_HEAD_TIMEOUT_S = 3.0
+DEFAULT_IDLE_TIMEOUT_S = 15.0
 
 
 @frozen(kw_only=True, slots=True)
 class Limits:
     """Limits of clients' requests.
 
+    :param head_bytes: largest request line and headers in bytes.
     :param body_bytes: largest request body in bytes.
+    :param head_timeout_s: seconds that a client may take for the request line and the headers.
+    :param idle_timeout_s: seconds for which a connection without a request is kept.
     """
 
+    head_bytes: int = DEFAULT_HEAD_BYTES
     body_bytes: int = DEFAULT_BODY_BYTES
+    head_timeout_s: float = DEFAULT_HEAD_TIMEOUT_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
 
 @define(kw_only=True, eq=False)
--- a/rhubarbferry/conf/settings.py
+++ b/rhubarbferry/conf/settings.py
@@ -142,6 +142,20 @@
     buffered_bytes: int = 128 * 1024 * 1024
 
 
+@frozen(kw_only=True, slots=True)
+class ConnectionSettings:
+    """Section ``[connections]``: connections that a frontend accepts from callers.
+
+    :param head_bytes: largest request line and headers of a request.
+    :param head_timeout_s: seconds from the first byte of a request to the end of its headers.
+    :param idle_timeout_s: seconds after which a connection without a request is closed.
+    """
+
+    head_bytes: int = 64 * 1024
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
 @frozen(kw_only=True, slots=True)
 class JobSettings:
     """Section ``[jobs]``: jobs on workers.
@@ -191,5 +205,6 @@
     hosts: HostListSettings = Factory(HostListSettings)
     ownership: OwnershipSettings = Factory(OwnershipSettings)
     requests: RequestSettings = Factory(RequestSettings)
+    connections: ConnectionSettings = Factory(ConnectionSettings)
     jobs: JobSettings = Factory(JobSettings)
     log: LogSettings = Factory(LogSettings)
--- a/rhubarbferry/frontend/daemon.py
+++ b/rhubarbferry/frontend/daemon.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+from functools import partial
 from typing import Any, Protocol
 
 from attrs import define
@@ -31,6 +32,8 @@
 from rhubarbferry.reports.events import register_slo_collector
 from rhubarbferry.rpc import Pool, Server, Timing
 from rhubarbferry.rpc.services import GUARD, SCHEDULER
+from rhubarbferry.serving.limits import RequestLimits
+from rhubarbferry.serving.listener import Listener
 
 # How long a request waits for a reachable partition owner, in multiples of the lease duration.
 OWNER_TIMEOUT_LEASES = 3.0
@@ -179,24 +182,39 @@
     return frontend
 
 
-def make_http_server(app: Any, *, drain_s: float) -> Any:
-    """Return a uvicorn server that leaves signal handling to the daemon."""
+def create_listener(cfg: Settings) -> Listener:
+    """Return the limits of the connections from callers."""
+    connections = cfg.connections
+    limits = RequestLimits(
+        head_bytes=connections.head_bytes,
+        body_bytes=cfg.requests.max_body_bytes,
+        head_timeout_s=connections.head_timeout_s,
+        idle_timeout_s=connections.idle_timeout_s,
+    )
+    return Listener(name="callers", limits=lambda: limits)
+
+
+def make_http_server(app: Any, *, drain_s: float, listener: Listener | None = None) -> Any:
+    """Return a uvicorn server that leaves signal handling to the daemon.
+
+    :param listener: limits of the connections; ``None`` for the defaults.
+    """
     import uvicorn
 
     from rhubarbferry.frontend.http import HttpProtocol
     from rhubarbferry.serving.server import HttpServer
 
+    protocol: Any = partial(HttpProtocol, listener=listener or create_listener(Settings()))
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http=HttpProtocol,
+        http=protocol,
         ws="none",
         lifespan="off",
         access_log=False,
         log_config=None,
         log_level="critical",
         server_header=False,
-        timeout_keep_alive=75,
         timeout_graceful_shutdown=max(1, round(drain_s)),
         backlog=LISTEN_BACKLOG,
     )
@@ -296,7 +314,9 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
-    server = make_http_server(frontend.app, drain_s=cfg.process.drain_s)
+    server = make_http_server(
+        frontend.app, drain_s=cfg.process.drain_s, listener=create_listener(cfg)
+    )
     serving = asyncio.create_task(server.serve(sockets=[sock]))
     addresses = {"address": rpc_address, "http_address": http_address, "member": node.member_id}
     print(json.dumps(addresses), flush=True)
--- a/rhubarbferry/platform/configuration.py
+++ b/rhubarbferry/platform/configuration.py
@@ -4,14 +4,17 @@
 
 from typing import Any
 
+from attrs import asdict, evolve
 from loguru import logger
 
-from rhubarbferry.cell.routes import DEFAULT_BODY_BYTES, Limits, Route, RouteTable
+from rhubarbferry.cell.routes import Limits, Route, RouteTable
 from rhubarbferry.dispatch.messages import ApprovalCost, Queue
 from rhubarbferry.platform.accounts import decode_accounts
 from rhubarbferry.platform.documents import DECODE_ERRORS, decode_json, read_integer, read_number
 
 CONFIGURATION_KEY = "op/config"
+# Milliseconds in a second.
+MS = 1000
 
 
 class ConfigurationError(Exception):
@@ -27,8 +30,7 @@
         body = decode_json(value)
         version = read_integer(body["version"])
         entries = list(body["routes"])
-        limits = body.get("limits") or {}
-        body_bytes = read_integer(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES))
+        limits = _decode_limits(body.get("limits") or {})
     except DECODE_ERRORS as exc:
         raise ConfigurationError(f"not a valid configuration: {exc!r:.300}") from exc
     routes = [route for entry in entries if (route := _decode_route_or_none(entry)) is not None]
@@ -36,11 +38,26 @@
         version=version,
         revision=revision,
         routes=routes,
-        limits=Limits(body_bytes=body_bytes),
+        limits=limits,
         accounts=decode_accounts(body.get("tenants")),
     )
 
 
+def _decode_limits(entry: Any) -> Limits:
+    """Decode the limits; log and replace each that is not positive by its default."""
+    defaults = Limits()
+    decoded = Limits(
+        head_bytes=read_integer(entry.get("maxHeaderBytes", defaults.head_bytes)),
+        body_bytes=read_integer(entry.get("maxBodyBytes", defaults.body_bytes)),
+        head_timeout_s=read_number(entry.get("headerTimeoutMs", defaults.head_timeout_s * MS)) / MS,
+        idle_timeout_s=read_number(entry.get("idleTimeoutMs", defaults.idle_timeout_s * MS)) / MS,
+    )
+    invalid = {name for name, value in asdict(decoded).items() if value <= 0}
+    if invalid:
+        logger.warning("limits that are not positive are replaced by their defaults: {}", invalid)
+    return evolve(decoded, **{name: getattr(defaults, name) for name in invalid})
+
+
 def _decode_route_or_none(entry: Any) -> Route | None:
     try:
         return _decode_route(entry)
--- a/rhubarbferry/platform/http_server.py
+++ b/rhubarbferry/platform/http_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import socket
+from functools import partial
 from typing import Any
 
 import uvicorn
 
 from rhubarbferry.serving.connections import BoundedHttpProtocol
+from rhubarbferry.serving.listener import Listener
 from rhubarbferry.serving.server import HttpServer
 
 # Length of the queue of connections that wait to be accepted. When the queue is full, the kernel
@@ -39,16 +41,17 @@
     return sock
 
 
-def create_server(app: Any, *, idle_timeout_s: int) -> HttpServer:
+def create_server(app: Any, *, listener: Listener) -> HttpServer:
     """Return an HTTP server for an ASGI application.
 
     :param app: the ASGI application.
-    :param idle_timeout_s: seconds after which an idle connection is closed.
+    :param listener: limits of the connections.
     """
+    protocol: Any = partial(BoundedHttpProtocol, listener=listener)
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http=BoundedHttpProtocol,
+        http=protocol,
         ws="none",
         lifespan="off",
         access_log=False,
@@ -56,7 +59,6 @@
         log_level="critical",
         server_header=False,
         date_header=False,
-        timeout_keep_alive=idle_timeout_s,
         timeout_graceful_shutdown=SHUTDOWN_GRACE_S,
         backlog=ACCEPT_BACKLOG,
     )
--- /dev/null
+++ b/rhubarbferry/platform/listeners.py
@@ -0,0 +1,53 @@
+"""Limits of the listeners of a process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+
+from attrs import define
+
+from rhubarbferry.cell.routes import Limits, RouteTable
+from rhubarbferry.serving.limits import RequestLimits
+from rhubarbferry.serving.listener import Listener, Report
+
+# Limits of clients before a configuration has been read.
+UNCONFIGURED = Limits()
+HEALTH_LIMITS = RequestLimits(head_bytes=16 * 1024, body_bytes=16 * 1024, head_timeout_s=3.0)
+
+
+@define(kw_only=True, eq=False)
+class Listeners:
+    """The listeners of a process."""
+
+    clients: Listener
+    health: Listener
+    metrics: Listener
+
+
+def create_listeners(*, routes: Callable[[], RouteTable | None], report: Report) -> Listeners:
+    """Return the listeners of a process.
+
+    :param routes: returns the current configuration, or ``None`` until one has been read.
+    :param report: writes a log line from the name of an event and its fields.
+    """
+
+    def client_limits() -> RequestLimits:
+        table = routes()
+        return _request_limits(table.limits if table is not None else UNCONFIGURED)
+
+    return Listeners(
+        clients=Listener(name="clients", limits=client_limits, report=report),
+        health=Listener(name="health", limits=lambda: HEALTH_LIMITS, report=report),
+        metrics=Listener(name="metrics", limits=lambda: HEALTH_LIMITS, report=report),
+    )
+
+
+@lru_cache(maxsize=1)
+def _request_limits(limits: Limits) -> RequestLimits:
+    return RequestLimits(
+        head_bytes=limits.head_bytes,
+        body_bytes=limits.body_bytes,
+        head_timeout_s=limits.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -36,6 +36,7 @@
 from rhubarbferry.platform.directory import PlatformDirectory
 from rhubarbferry.platform.health_api import build_app
 from rhubarbferry.platform.http_server import create_server, listen
+from rhubarbferry.platform.listeners import create_listeners
 from rhubarbferry.platform.policy import PlatformPolicy
 from rhubarbferry.platform.settings import (
     SETTINGS_VARIABLE,
@@ -55,8 +56,6 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period that is reserved for closing servers and connections before SIGKILL.
 SHUTDOWN_RESERVE_S = 1.0
-# Idle connections to this process are closed after this time.
-IDLE_TIMEOUT_S = 75
 # Interval between checks of the settings file, which may change without a signal.
 SETTINGS_POLL_INTERVAL_S = 2.0
 
@@ -163,6 +162,7 @@
             peers=self.peers,
             replace=self.candidate.replace_unresponsive,
         )
+        self.listeners = create_listeners(routes=lambda: self.feed.routes, report=self.log.emit)
         self.peer_server = PeerServer(
             clock=self.clock,
             jobs=direct_calls,
@@ -215,14 +215,17 @@
             asyncio.create_task(self.owner_monitor.run()),
             asyncio.create_task(self._watch_settings()),
         ]
-        sockets = [(health, health_socket), (self.api, client_socket)]
+        sockets = [
+            (health, health_socket, self.listeners.health),
+            (self.api, client_socket, self.listeners.clients),
+        ]
         metrics_socket = self._listen_for_metrics()
         if metrics_socket is not None:
-            sockets.append((health, metrics_socket))
+            sockets.append((health, metrics_socket, self.listeners.metrics))
         servers = []
         server_tasks = []
-        for app, sock in sockets:
-            server = create_server(app, idle_timeout_s=IDLE_TIMEOUT_S)
+        for app, sock, listener in sockets:
+            server = create_server(app, listener=listener)
             servers.append(server)
             server_tasks.append(asyncio.create_task(server.serve(sockets=[sock])))
         stop_signal = asyncio.create_task(self.signals.stop.wait())
--- a/rhubarbferry/reports/metric_table.py
+++ b/rhubarbferry/reports/metric_table.py
@@ -14,7 +14,7 @@
 
 from rhubarbferry.reports.events import SloCollector
 
-METRIC_PACKAGES = ("adapters", "coordination", "frontend", "reports", "rpc", "scheduler")
+METRIC_PACKAGES = ("adapters", "coordination", "frontend", "reports", "rpc", "scheduler", "serving")
 DAEMON_BY_PACKAGE = {"frontend": "frontend", "scheduler": "scheduler"}
 ALL_DAEMONS = "both"
 NAME_SUFFIXES = {"counter": "_total"}
--- a/rhubarbferry/serving/closures.py
+++ b/rhubarbferry/serving/closures.py
@@ -16,6 +16,9 @@
     EMPTY_LINES = "empty_lines"
     CHUNK_OVERHEAD = "chunk_overhead"
     UNREAD_BODY = "unread_body"
+    HEAD_TIMEOUT = "head_timeout"
+    BODY_TIMEOUT = "body_timeout"
+    IDLE = "idle"
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections with bounded headers, batched writes and a way to abort a request."""
+"""HTTP/1.1 connections with limits, batched writes and a way to abort a request."""
 
 from __future__ import annotations
 
@@ -10,12 +10,15 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from rhubarbferry.serving.closures import Reason, RequestRefused
-from rhubarbferry.serving.limits import RequestLimits
+from rhubarbferry.serving.closures import Closure, Reason, RequestRefused
+from rhubarbferry.serving.deadline import Deadline
+from rhubarbferry.serving.listener import Listener
 from rhubarbferry.serving.request_reader import Part, RequestReader
 
-LIMITS = RequestLimits()
 FLUSH_THRESHOLD_BYTES = 64 * 1024
+# Added to the time limits of clients: a request that was sent in time may have to be transmitted
+# again.
+TRANSIT_ALLOWANCE_S = 2.0
 # Key in the scope of a request for a function that closes its connection without a response. It is
 # for requests with an unknown outcome, about which any response could be wrong.
 ABORT = "rhubarbferry.abort"
@@ -122,15 +125,19 @@
 
 
 class BoundedHttpProtocol(HttpToolsProtocol):
-    """Limit the size of each part of a request and respond to malformed requests."""
+    """Serve one request of a connection at a time, within the limits of its listener."""
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, *args: Any, listener: Listener, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self._reader = RequestReader(parser=self.parser, limits=lambda: LIMITS)
+        self._listener = listener
+        self._reader = RequestReader(parser=self.parser, limits=listener.limits)
+        self._deadline = Deadline(on_expired=self._on_deadline)
         # What the client sent behind a request to which a response is owed.
         self._unread = b""
         self._unread_from = 0
         self._discarded_bytes = 0
+        self._waiting_since = self._head_since = self.loop.time()
+        self._recorded = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start serving a connection."""
@@ -138,15 +145,22 @@
         super().connection_made(batching)
         self._gate = ReadGate(batching)
         self.flow = self._gate
+        self._update()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timers of the connection."""
+        super().connection_lost(exc)
+        self._unread = b""
+        self._deadline.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Read the next request, unless a response is owed to the one before it."""
-        self._unset_keepalive_if_required()
         if self._unread:
             self._unread = self._unread[self._unread_from :] + data
             self._unread_from = 0
         else:
             self._read(data, 0)
+        self._update()
 
     def _read(self, data: bytes, start: int) -> None:
         pos = start
@@ -159,6 +173,8 @@
                         return
                     self._reader.begin()
                     self._discarded_bytes = 0
+                if self._reader.part is Part.BEFORE:
+                    self._head_since = self.loop.time()
                 end = self._reader.feed(data, pos)
                 if self._reader.head_complete and self.cycle.response_complete:
                     self._discard(end - pos)
@@ -167,21 +183,58 @@
             self._refuse(exc)
 
     def _discard(self, size: int) -> None:
-        limit = LIMITS.body_bytes
+        limit = self._listener.limits().body_bytes
         self._discarded_bytes += size
         if self._discarded_bytes > limit:
             raise RequestRefused(Reason.UNREAD_BODY, limit)
 
+    def _update(self) -> None:
+        """Set the time by which the connection must go on."""
+        if self.transport.is_closing():
+            return
+        reader = self._reader
+        answered = reader.head_complete and self.cycle.response_complete
+        in_progress = reader.part is Part.COMPLETE and not answered
+        if in_progress:
+            self._deadline.clear()
+            return
+        limits = self._listener.limits()
+        match reader.part:
+            case Part.BEFORE | Part.COMPLETE:
+                since, timeout_s, reason = self._waiting_since, limits.idle_timeout_s, Reason.IDLE
+            case Part.HEAD:
+                since, timeout_s = self._head_since, limits.head_timeout_s
+                reason = Reason.HEAD_TIMEOUT
+            case _:
+                since, timeout_s = self.loop.time(), limits.idle_timeout_s
+                reason = Reason.BODY_TIMEOUT
+        self._deadline.set(
+            since + timeout_s + TRANSIT_ALLOWANCE_S, Closure(reason=reason, limit=timeout_s)
+        )
+
     def on_response_complete(self) -> None:
         """Read the next request of the connection."""
-        super().on_response_complete()
-        if not self._unread or self.transport.is_closing():
+        self.server_state.total_requests += 1
+        if self.transport.is_closing():
             return
-        self._unset_keepalive_if_required()
-        unread, self._unread = self._unread, b""
-        self._gate.open()
-        self._read(unread, self._unread_from)
+        self._waiting_since = self.loop.time()
+        if self._unread:
+            unread, self._unread = self._unread, b""
+            self._gate.open()
+            self._read(unread, self._unread_from)
         self._gate.resume_reading()
+        self._update()
+
+    def _on_deadline(self, closure: Closure) -> None:
+        self._record(closure)
+        self.transport.close()
+
+    def _record(self, closure: Closure) -> None:
+        if self._recorded:
+            return
+        self._recorded = True
+        ip, port = self.client or ("", 0)
+        self._listener.record(closure, peer=f"{ip}:{port}")
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -210,6 +263,7 @@
 
         The requests before it have been answered.
         """
+        self._record(exc.closure)
         # When the error is in the body, part of the request may already have been forwarded.
         begun = self._reader.head_complete
         if not (begun and self.cycle.response_started):
--- a/tests/serving/protocol_harness.py
+++ b/tests/serving/protocol_harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 import uvicorn
@@ -11,6 +10,7 @@
 from uvicorn.server import ServerState
 
 from rhubarbferry.serving.connections import BoundedHttpProtocol
+from rhubarbferry.serving.listener import Listener
 
 
 class FakeTransport(asyncio.Transport):
@@ -90,11 +90,16 @@
 
 
 def connect(
-    app: Any, *, create: Callable[..., BoundedHttpProtocol] = BoundedHttpProtocol
+    app: Any, *, listener: Listener | None = None
 ) -> tuple[BoundedHttpProtocol, FakeTransport]:
     """Return a connected protocol and its transport."""
     config = uvicorn.Config(app, lifespan="off", log_config=None, log_level="critical")
-    protocol = create(config=config, server_state=ServerState(), app_state={})
+    protocol = BoundedHttpProtocol(
+        config=config,
+        server_state=ServerState(),
+        app_state={},
+        listener=listener or Listener(name="test"),
+    )
     transport = FakeTransport()
     transport.protocol = protocol
     protocol.connection_made(transport)
