Close connections whose clients don't read their responses

Cause: a response waits for its client without a time limit, the idle time doesn't apply while it waits, and a closed connection waits for its unsent bytes as well.

Found by reading. With the time limit left out of their setup, three of the new unit tests fail on the code before: the connection stays for good. A client that makes progress is waited for. 16 KiB of unsent bytes instead of asyncio's 64 KiB bound what the connections of a process hold together.

--- a/rhubarbferry/cell/settings.py
+++ b/rhubarbferry/cell/settings.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from attrs import Factory, frozen
+import math
+
+from attrs import Factory, field, frozen
+from attrs.validators import gt, lt
 
 
 @frozen(kw_only=True, slots=True)
@@ -34,6 +37,17 @@
     max_summary_age_s: float = 2.0
 
 
+@frozen(kw_only=True, slots=True)
+class ConnectionSettings:
+    """Section ``[connections]``: connections that a process accepts.
+
+    :param write_timeout_s: seconds after which a connection is closed whose client reads nothing
+        of a response.
+    """
+
+    write_timeout_s: float = field(default=15.0, validator=[gt(0), lt(math.inf)])
+
+
 @frozen(kw_only=True, slots=True)
 class CellSettings:
     """Settings of one process.
@@ -52,3 +66,4 @@
     max_descriptors: int = 0
     bounds: Bounds = Factory(Bounds)
     admission: AdmissionSettings = Factory(AdmissionSettings)
+    connections: ConnectionSettings = Factory(ConnectionSettings)
--- a/rhubarbferry/conf/settings.py
+++ b/rhubarbferry/conf/settings.py
@@ -149,11 +149,14 @@
     :param head_bytes: largest request line and headers of a request.
     :param head_timeout_s: seconds from the first byte of a request to the end of its headers.
     :param idle_timeout_s: seconds after which a connection without a request is closed.
+    :param write_timeout_s: seconds after which a connection is closed whose caller reads nothing
+        of a response.
     """
 
     head_bytes: int = 64 * 1024
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/frontend/daemon.py
+++ b/rhubarbferry/frontend/daemon.py
@@ -191,7 +191,9 @@
         head_timeout_s=connections.head_timeout_s,
         idle_timeout_s=connections.idle_timeout_s,
     )
-    return Listener(name="callers", limits=lambda: limits)
+    return Listener(
+        name="callers", limits=lambda: limits, write_timeout_s=connections.write_timeout_s
+    )
 
 
 def make_http_server(app: Any, *, drain_s: float, listener: Listener | None = None) -> Any:
--- a/rhubarbferry/platform/listeners.py
+++ b/rhubarbferry/platform/listeners.py
@@ -8,6 +8,7 @@
 from attrs import define
 
 from rhubarbferry.cell.routes import Limits, RouteTable
+from rhubarbferry.cell.settings import CellSettings
 from rhubarbferry.serving.limits import RequestLimits
 from rhubarbferry.serving.listener import Listener, Report
 
@@ -25,7 +26,9 @@
     metrics: Listener
 
 
-def create_listeners(*, routes: Callable[[], RouteTable | None], report: Report) -> Listeners:
+def create_listeners(
+    *, cfg: CellSettings, routes: Callable[[], RouteTable | None], report: Report
+) -> Listeners:
     """Return the listeners of a process.
 
     :param routes: returns the current configuration, or ``None`` until one has been read.
@@ -36,10 +39,18 @@
         table = routes()
         return _request_limits(table.limits if table is not None else UNCONFIGURED)
 
+    def create(name: str, limits: Callable[[], RequestLimits]) -> Listener:
+        return Listener(
+            name=name,
+            limits=limits,
+            write_timeout_s=cfg.connections.write_timeout_s,
+            report=report,
+        )
+
     return Listeners(
-        clients=Listener(name="clients", limits=client_limits, report=report),
-        health=Listener(name="health", limits=lambda: HEALTH_LIMITS, report=report),
-        metrics=Listener(name="metrics", limits=lambda: HEALTH_LIMITS, report=report),
+        clients=create("clients", client_limits),
+        health=create("health", lambda: HEALTH_LIMITS),
+        metrics=create("metrics", lambda: HEALTH_LIMITS),
     )
 
 
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -42,7 +42,7 @@
     SETTINGS_VARIABLE,
     SettingsFile,
     SettingsFileError,
-    load_admission_settings,
+    load_own_settings,
     load_settings_file,
 )
 from rhubarbferry.platform.store import PlatformStore
@@ -162,7 +162,9 @@
             peers=self.peers,
             replace=self.candidate.replace_unresponsive,
         )
-        self.listeners = create_listeners(routes=lambda: self.feed.routes, report=self.log.emit)
+        self.listeners = create_listeners(
+            cfg=cfg, routes=lambda: self.feed.routes, report=self.log.emit
+        )
         self.peer_server = PeerServer(
             clock=self.clock,
             jobs=direct_calls,
@@ -330,5 +332,6 @@
     settings = load_settings_file(Path(path))
     if own_settings is None:
         return settings
-    cell = evolve(settings.cell, admission=load_admission_settings(own_settings))
+    own = load_own_settings(own_settings)
+    cell = evolve(settings.cell, admission=own.admission, connections=own.connections)
     return evolve(settings, cell=cell)
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -10,16 +10,15 @@
 from typing import Any
 
 import attrs
-from attrs import frozen
+from attrs import Factory, frozen
 
-from rhubarbferry.cell.settings import AdmissionSettings, Bounds, CellSettings
+from rhubarbferry.cell.settings import AdmissionSettings, Bounds, CellSettings, ConnectionSettings
 
 SETTINGS_VARIABLE = "RHUBARBFERRY_SETTINGS"
 # Calls between the processes of a cell use the first port that the platform allocates to a process.
 PEER_PORT_INDEX = 0
 # Must match `metrics` in deploy/system.toml, which supports only a fixed port.
 METRICS_PORT = 9464
-ADMISSION_SECTION = "admission"
 
 
 class SettingsFileError(Exception):
@@ -108,8 +107,16 @@
     )
 
 
-def load_admission_settings(path: Path) -> AdmissionSettings:
-    """Read the section ``[admission]`` of the INI file with this system's own settings.
+@frozen(kw_only=True, slots=True)
+class OwnSettings:
+    """The INI file with this system's own settings."""
+
+    admission: AdmissionSettings = Factory(AdmissionSettings)
+    connections: ConnectionSettings = Factory(ConnectionSettings)
+
+
+def load_own_settings(path: Path) -> OwnSettings:
+    """Read the INI file with this system's own settings.
 
     :raises SettingsFileError: when the file can't be read, or has an unknown section, key or value.
     """
@@ -119,16 +126,35 @@
     except (OSError, UnicodeDecodeError, configparser.Error) as exc:
         reason = " ".join(str(exc).split())
         raise SettingsFileError(f"{path}: {reason}; name a readable INI file") from exc
-    unknown = [name for name in parser.sections() if name != ADMISSION_SECTION]
+    unknown = [name for name in parser.sections() if name not in attrs.fields_dict(OwnSettings)]
     if unknown:
         raise SettingsFileError(f"{path}: unknown section [{unknown[0]}]; remove it")
-    defaults = AdmissionSettings()
-    if ADMISSION_SECTION not in parser:
-        return defaults
-    section = parser[ADMISSION_SECTION]
+    return OwnSettings(
+        admission=_load_admission(path, _section(path, parser, "admission", AdmissionSettings)),
+        connections=_load_connections(
+            path, _section(path, parser, "connections", ConnectionSettings)
+        ),
+    )
+
+
+def _section(
+    path: Path, parser: configparser.ConfigParser, name: str, settings: type
+) -> configparser.SectionProxy:
+    """Return a section, empty if it is missing.
+
+    :raises SettingsFileError: when it has a key that is no field of ``settings``.
+    """
+    if name not in parser:
+        parser.add_section(name)
+    section = parser[name]
     for key in section:
-        if key not in attrs.fields_dict(AdmissionSettings):
+        if key not in attrs.fields_dict(settings):
             raise SettingsFileError(f"{path}: unknown key {key!r}; remove it")
+    return section
+
+
+def _load_admission(path: Path, section: configparser.SectionProxy) -> AdmissionSettings:
+    defaults = AdmissionSettings()
     try:
         refuse = section.getboolean("refuse_when_full", defaults.refuse_when_full)
         max_age_s = section.getfloat("max_summary_age_s", defaults.max_summary_age_s)
@@ -139,6 +165,18 @@
     return AdmissionSettings(refuse_when_full=refuse, max_summary_age_s=max_age_s)
 
 
+def _load_connections(path: Path, section: configparser.SectionProxy) -> ConnectionSettings:
+    defaults = ConnectionSettings()
+    try:
+        return ConnectionSettings(
+            write_timeout_s=section.getfloat("write_timeout_s", defaults.write_timeout_s),
+        )
+    except ValueError as exc:
+        raise SettingsFileError(
+            f"{path}: [connections]: {exc}; write a number of seconds above 0"
+        ) from exc
+
+
 _MISSING = object()
 
 
--- a/rhubarbferry/serving/closures.py
+++ b/rhubarbferry/serving/closures.py
@@ -19,6 +19,7 @@
     HEAD_TIMEOUT = "head_timeout"
     BODY_TIMEOUT = "body_timeout"
     IDLE = "idle"
+    UNREAD_RESPONSE = "unread_response"
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -12,10 +12,12 @@
 
 from rhubarbferry.serving.closures import Closure, Reason, RequestRefused
 from rhubarbferry.serving.deadline import Deadline
-from rhubarbferry.serving.listener import Listener
+from rhubarbferry.serving.listener import DEFAULT_WRITE_TIMEOUT_S, Listener
 from rhubarbferry.serving.request_reader import Part, RequestReader
 
 FLUSH_THRESHOLD_BYTES = 64 * 1024
+# Most unsent bytes of a connection before the application has to wait.
+WRITE_BUFFER_BYTES = 16 * 1024
 # Added to the time limits of clients: a request that was sent in time may have to be transmitted
 # again.
 TRANSIT_ALLOWANCE_S = 2.0
@@ -32,11 +34,15 @@
     than all other work for a response.
 
     :param inner: the wrapped transport of the connection.
+    :param close_timeout_s: seconds for which a closed connection waits for its client to read.
     """
 
-    def __init__(self, inner: asyncio.Transport) -> None:
+    def __init__(
+        self, inner: asyncio.Transport, *, close_timeout_s: float = DEFAULT_WRITE_TIMEOUT_S
+    ) -> None:
         super().__init__()
         self._inner = inner
+        self._close_timeout_s = close_timeout_s
         self._loop = asyncio.get_running_loop()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
@@ -63,6 +69,8 @@
         """Close the connection after sending all buffered data."""
         self.flush()
         self._inner.close()
+        if self._inner.get_write_buffer_size() > 0:
+            self._loop.call_later(self._close_timeout_s, self._inner.abort)
 
     def abort(self) -> None:
         """Discard the buffered data and close the connection immediately."""
@@ -137,11 +145,13 @@
         self._unread_from = 0
         self._discarded_bytes = 0
         self._waiting_since = self._head_since = self.loop.time()
+        self._write_timer: asyncio.TimerHandle | None = None
         self._recorded = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start serving a connection."""
-        batching = BatchingTransport(transport)
+        batching = BatchingTransport(transport, close_timeout_s=self._listener.write_timeout_s)
+        batching.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         super().connection_made(batching)
         self._gate = ReadGate(batching)
         self.flow = self._gate
@@ -151,7 +161,7 @@
         """Stop the timers of the connection."""
         super().connection_lost(exc)
         self._unread = b""
-        self._deadline.cancel()
+        self._release()
 
     def data_received(self, data: bytes) -> None:
         """Read the next request, unless a response is owed to the one before it."""
@@ -225,10 +235,49 @@
         self._gate.resume_reading()
         self._update()
 
+    def pause_writing(self) -> None:
+        """Limit the time for which the client reads nothing of a response."""
+        super().pause_writing()
+        self._watch_writing()
+
+    def resume_writing(self) -> None:
+        """Go on writing, as the client reads."""
+        super().resume_writing()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+        self._update()
+
+    def _watch_writing(self) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        self._write_timer = self.loop.call_later(
+            self._listener.write_timeout_s, self._check_writing, unsent
+        )
+
+    def _check_writing(self, unsent_before: int) -> None:
+        if self.transport.get_write_buffer_size() < unsent_before:
+            self._watch_writing()
+            return
+        limit = self._listener.write_timeout_s
+        self.evict(Closure(reason=Reason.UNREAD_RESPONSE, limit=limit))
+
     def _on_deadline(self, closure: Closure) -> None:
+        if self._write_timer is not None:
+            # The client is reading the last response, or that timer ends the connection.
+            self._deadline.set(self.loop.time() + self._listener.write_timeout_s, closure)
+            return
+        if self.transport.get_write_buffer_size() > 0:
+            self.evict(Closure(reason=Reason.UNREAD_RESPONSE, limit=closure.limit))
+            return
         self._record(closure)
         self.transport.close()
 
+    def evict(self, closure: Closure) -> None:
+        """Close the connection at once."""
+        self._record(closure)
+        self._release()
+        self.transport.abort()
+
     def _record(self, closure: Closure) -> None:
         if self._recorded:
             return
@@ -236,6 +285,12 @@
         ip, port = self.client or ("", 0)
         self._listener.record(closure, peer=f"{ip}:{port}")
 
+    def _release(self) -> None:
+        self._deadline.cancel()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._reader.on_message_begin()
--- a/rhubarbferry/serving/listener.py
+++ b/rhubarbferry/serving/listener.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
+from attrs.validators import gt
 from loguru import logger
 from prometheus_client import Counter
 
@@ -18,6 +19,8 @@
     ["listener", "reason"],
 )
 
+# A client that does not read may keep a connection for this long.
+DEFAULT_WRITE_TIMEOUT_S = 15.0
 # Interval between two log lines with the same reason.
 LOG_INTERVAL_S = 1.0
 # The ordinary end of a connection, of which there are many.
@@ -37,11 +40,14 @@
 
     :param name: label of the metrics and log lines.
     :param limits: returns the current limits of requests.
+    :param write_timeout_s: seconds after which a connection is closed whose client reads nothing
+        of a response.
     :param report: writes a log line from the name of an event and its fields.
     """
 
     name: str
     limits: Callable[[], RequestLimits] = RequestLimits
+    write_timeout_s: float = field(default=DEFAULT_WRITE_TIMEOUT_S, validator=gt(0))
     report: Report = log_closure
     _logged_at: dict[Reason, float] = field(factory=dict, init=False)
     _left_out: dict[Reason, int] = field(factory=dict, init=False)
--- a/tests/frontend/test_gathering_transport.py
+++ b/tests/frontend/test_gathering_transport.py
@@ -19,6 +19,9 @@
     def write(self, data: bytes) -> None:
         self.calls.append(data)
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def close(self) -> None:
         self.calls.append("close")
 
--- a/tests/on_platform/test_admission.py
+++ b/tests/on_platform/test_admission.py
@@ -14,7 +14,7 @@
 from rhubarbferry.dispatch.record import JobRecord
 from rhubarbferry.platform.client_api import ClientApi
 from rhubarbferry.platform.configuration import decode_configuration
-from rhubarbferry.platform.settings import SettingsFileError, load_admission_settings
+from rhubarbferry.platform.settings import SettingsFileError, load_own_settings
 from rhubarbferry.test.fake_clock import FakeClock
 from tests.cell.fakes import FakeEventLog
 
@@ -125,7 +125,7 @@
 def test_admission_is_off_unless_the_settings_switch_it_on(tmp_path, text, settings):
     path = tmp_path / "cell.ini"
     path.write_text(text)
-    assert load_admission_settings(path) == settings
+    assert load_own_settings(path).admission == settings
 
 
 @pytest.mark.parametrize(
@@ -145,9 +145,9 @@
     path = tmp_path / "cell.ini"
     path.write_text(text)
     with pytest.raises(SettingsFileError):
-        load_admission_settings(path)
+        load_own_settings(path)
 
 
 def test_a_missing_settings_file_is_reported(tmp_path):
     with pytest.raises(SettingsFileError):
-        load_admission_settings(tmp_path / "cell.ini")
+        load_own_settings(tmp_path / "cell.ini")
--- a/tests/on_platform/test_limits_of_configuration.py
+++ b/tests/on_platform/test_limits_of_configuration.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rhubarbferry.cell.routes import Limits, RouteTable
+from rhubarbferry.cell.settings import CellSettings
 from rhubarbferry.platform.configuration import ConfigurationError, decode_configuration
 from rhubarbferry.platform.listeners import create_listeners
 
@@ -16,6 +17,7 @@
     "headerTimeoutMs": 300,
     "idleTimeoutMs": 4500,
 }
+CELL = CellSettings(member="m", region="r", failure_domain="d")
 
 
 def decode(limits) -> RouteTable:
@@ -47,7 +49,7 @@
 def test_listeners_of_clients_follow_the_configuration():
     """Guards against limits that the operator has set and no process follows."""
     table: RouteTable | None = None
-    listeners = create_listeners(routes=lambda: table, report=lambda *_, **__: None)
+    listeners = create_listeners(cfg=CELL, routes=lambda: table, report=lambda *_, **__: None)
     found = listeners.clients.limits()
     assert (found.head_bytes, found.body_bytes) == (16_384, 262_144)
     assert (found.head_timeout_s, found.idle_timeout_s) == (3.0, 15.0)
--- a/tests/serving/test_timeouts.py
+++ b/tests/serving/test_timeouts.py
@@ -14,6 +14,7 @@
 from .protocol_harness import RecordingApp, connect, receive, settle
 
 LIMITS = RequestLimits(head_timeout_s=3.0, idle_timeout_s=15.0)
+WRITE_TIMEOUT_S = 20.0
 REQUEST = b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
 HEAD = REQUEST.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
 
@@ -37,7 +38,7 @@
 
 
 def listen() -> Listener:
-    return Listener(name="test", limits=lambda: LIMITS)
+    return Listener(name="test", limits=lambda: LIMITS, write_timeout_s=WRITE_TIMEOUT_S)
 
 
 def serve(*, release: bool = True):
@@ -122,6 +123,40 @@
     assert b" 200 " in transport.written
 
 
+async def test_a_response_that_nobody_reads_ends_its_connection(time):
+    """Guards against connections that wait for their clients without a time limit."""
+    app, protocol, transport = serve()
+    transport.blocked = True
+    receive(protocol, transport, REQUEST)
+    await settle()
+    await time.advance(LIMITS.idle_timeout_s + TRANSIT_ALLOWANCE_S)
+    assert transport.aborted
+
+
+@pytest.mark.parametrize("reads", [True, False])
+async def test_a_client_that_reads_slowly_is_waited_for(time, reads):
+    _, protocol, transport = serve()
+    transport.blocked = True
+    transport.written = b"x" * 100_000
+    protocol.pause_writing()
+    for _ in range(3):
+        await time.advance(WRITE_TIMEOUT_S - 1)
+        if reads:
+            transport.written = transport.written[1000:]
+        await time.advance(1)
+    assert transport.aborted is not reads
+
+
+async def test_a_closed_connection_does_not_wait_for_its_client_without_end(time):
+    _, protocol, transport = serve()
+    transport.blocked = True
+    receive(protocol, transport, b"\0")
+    await settle()
+    assert transport.closed and not transport.aborted
+    await time.advance(WRITE_TIMEOUT_S)
+    assert transport.aborted
+
+
 async def test_changed_limits_apply_to_open_connections(time):
     limits = LIMITS
     listener = Listener(name="test", limits=lambda: limits)
