Bound the connections of a process and the bytes they hold

Seen by callers: no answer, as 500 connections without a request held all descriptors; or a process out of memory, as 700 bodies without their last byte take more than it has.

Cause: no limit was one of the process. asyncio accepts as many connections at once as its queue is long.

The connection that has waited longest without a complete request gives way, so a new caller gets in. Of the bytes the oldest incomplete request gives way; complete ones are kept. An eighth of the descriptors leaves those that hosts, the store and other processes need with 4,100 of them: 200 for files, 512 each for clients and peers, 2,700 for 270 hosts. An eighth of the memory: bodies exist up to three times while they are joined and parsed.

--- a/rhubarbferry/cell/settings.py
+++ b/rhubarbferry/cell/settings.py
@@ -5,7 +5,7 @@
 import math
 
 from attrs import Factory, field, frozen
-from attrs.validators import gt, lt
+from attrs.validators import ge, gt, lt
 
 
 @frozen(kw_only=True, slots=True)
@@ -41,10 +41,15 @@
 class ConnectionSettings:
     """Section ``[connections]``: connections that a process accepts.
 
+    :param max_clients: limit of open connections of clients; 0 for an eighth of the descriptors.
+    :param held_bytes: limit in bytes of what all connections hold for unanswered requests; 0 for an
+        eighth of the memory of the process.
     :param write_timeout_s: seconds after which a connection is closed whose client reads nothing
         of a response.
     """
 
+    max_clients: int = field(default=0, validator=ge(0))
+    held_bytes: int = field(default=0, validator=ge(0))
     write_timeout_s: float = field(default=15.0, validator=[gt(0), lt(math.inf)])
 
 
@@ -56,6 +61,7 @@
     :param cores: processor cores that its host provides, 0 if unknown.
     :param link_mbps: bandwidth of its host's network link in Mbit/s, 0 if unknown.
     :param max_descriptors: file descriptors that the process may use, 0 if unknown.
+    :param memory_bytes: memory that the process may use, 0 if unknown.
     """
 
     member: str
@@ -64,6 +70,7 @@
     cores: float = 0.0
     link_mbps: float = 0.0
     max_descriptors: int = 0
+    memory_bytes: int = 0
     bounds: Bounds = Factory(Bounds)
     admission: AdmissionSettings = Factory(AdmissionSettings)
     connections: ConnectionSettings = Factory(ConnectionSettings)
--- a/rhubarbferry/conf/checks.py
+++ b/rhubarbferry/conf/checks.py
@@ -117,6 +117,18 @@
                 )
 
 
+@register
+def check_connections(cfg: Settings) -> Iterator[Problem]:
+    """Require that a frontend accepts connections."""
+    if cfg.connections.max_connections < 1:
+        yield Problem(
+            section="connections",
+            key="max_connections",
+            message=f"{cfg.connections.max_connections} allows no connection",
+            hint="Write 1 or more",
+        )
+
+
 @register
 def check_lease(cfg: Settings) -> Iterator[Problem]:
     """Require that a lease can be renewed twice before it expires.
--- a/rhubarbferry/conf/settings.py
+++ b/rhubarbferry/conf/settings.py
@@ -146,6 +146,11 @@
 class ConnectionSettings:
     """Section ``[connections]``: connections that a frontend accepts from callers.
 
+    :param max_connections: limit of open connections, at most three quarters of the descriptors
+        that the process may use. Above it, the connection that has waited longest without a
+        complete request is closed.
+    :param held_bytes: limit of the memory for incomplete requests and for bodies that no runner
+        has taken yet, over all connections.
     :param head_bytes: largest request line and headers of a request.
     :param head_timeout_s: seconds from the first byte of a request to the end of its headers.
     :param idle_timeout_s: seconds after which a connection without a request is closed.
@@ -153,6 +158,8 @@
         of a response.
     """
 
+    max_connections: int = 8192
+    held_bytes: int = 128 * 1024 * 1024
     head_bytes: int = 64 * 1024
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
--- a/rhubarbferry/frontend/daemon.py
+++ b/rhubarbferry/frontend/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import resource
 import signal
 import socket
 from functools import partial
@@ -33,13 +34,17 @@
 from rhubarbferry.rpc import Pool, Server, Timing
 from rhubarbferry.rpc.services import GUARD, SCHEDULER
 from rhubarbferry.serving.limits import RequestLimits
-from rhubarbferry.serving.listener import Listener
+from rhubarbferry.serving.listener import ByteBudget, Listener
 
 # How long a request waits for a reachable partition owner, in multiples of the lease duration.
 OWNER_TIMEOUT_LEASES = 3.0
 # Time between failing /readyz and closing the listening socket.
 READINESS_PROPAGATION_S = 0.5
 LISTEN_BACKLOG = 1024
+# Share of the descriptors for connections from callers.
+DESCRIPTOR_SHARE = 3 / 4
+# Most bytes of a body that a connection buffers before the application takes them.
+BUFFERED_BODY_BYTES = 64 * 1024
 
 
 class Membership(Protocol):
@@ -188,11 +193,21 @@
     limits = RequestLimits(
         head_bytes=connections.head_bytes,
         body_bytes=cfg.requests.max_body_bytes,
+        # The application limits and counts what it has taken from the connection.
+        buffered_body_bytes=BUFFERED_BODY_BYTES,
         head_timeout_s=connections.head_timeout_s,
         idle_timeout_s=connections.idle_timeout_s,
     )
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    usable = int(descriptors * DESCRIPTOR_SHARE)
+    if descriptors == resource.RLIM_INFINITY:
+        usable = connections.max_connections
     return Listener(
-        name="callers", limits=lambda: limits, write_timeout_s=connections.write_timeout_s
+        name="callers",
+        limits=lambda: limits,
+        budget=ByteBudget(max_bytes=connections.held_bytes),
+        max_connections=max(1, min(connections.max_connections, usable)),
+        write_timeout_s=connections.write_timeout_s,
     )
 
 
--- a/rhubarbferry/platform/settings.py
+++ b/rhubarbferry/platform/settings.py
@@ -92,6 +92,7 @@
         cores=reader.number("limits.cpuShare") * reader.number("limits.cores"),
         link_mbps=reader.number("limits.linkMbps"),
         max_descriptors=int(reader.number("limits.maxFds")),
+        memory_bytes=int(reader.number("limits.memoryMb") * 1024 * 1024),
         bounds=bounds,
     )
     return SettingsFile(
@@ -169,11 +170,13 @@
     defaults = ConnectionSettings()
     try:
         return ConnectionSettings(
+            max_clients=section.getint("max_clients", defaults.max_clients),
+            held_bytes=section.getint("held_bytes", defaults.held_bytes),
             write_timeout_s=section.getfloat("write_timeout_s", defaults.write_timeout_s),
         )
     except ValueError as exc:
         raise SettingsFileError(
-            f"{path}: [connections]: {exc}; write a number of seconds above 0"
+            f"{path}: [connections]: {exc}; write 0 or a whole number, or seconds above 0"
         ) from exc
 
 
--- a/rhubarbferry/serving/closures.py
+++ b/rhubarbferry/serving/closures.py
@@ -20,6 +20,8 @@
     BODY_TIMEOUT = "body_timeout"
     IDLE = "idle"
     UNREAD_RESPONSE = "unread_response"
+    CONNECTIONS = "connections"
+    HELD_BYTES = "held_bytes"
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/serving/connections.py
+++ b/rhubarbferry/serving/connections.py
@@ -155,10 +155,11 @@
         super().connection_made(batching)
         self._gate = ReadGate(batching)
         self.flow = self._gate
+        self._listener.opened(self)
         self._update()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timers of the connection."""
+        """Release what the connection holds."""
         super().connection_lost(exc)
         self._unread = b""
         self._release()
@@ -199,13 +200,22 @@
             raise RequestRefused(Reason.UNREAD_BODY, limit)
 
     def _update(self) -> None:
-        """Set the time by which the connection must go on."""
+        """Account for what the connection holds, and set the time by which it must go on."""
         if self.transport.is_closing():
             return
         reader = self._reader
         answered = reader.head_complete and self.cycle.response_complete
         in_progress = reader.part is Part.COMPLETE and not answered
+        held = len(self._unread) - self._unread_from if self._unread else 0
+        if not answered:
+            held += reader.held_bytes
+        self._listener.budget.hold(self, held, incomplete=not in_progress)
         if in_progress:
+            # A client that sends ahead or doesn't read gives way to others.
+            if self._unread or self._write_timer is not None:
+                self._listener.mark_waiting(self)
+            else:
+                self._listener.mark_busy(self)
             self._deadline.clear()
             return
         limits = self._listener.limits()
@@ -228,6 +238,7 @@
         if self.transport.is_closing():
             return
         self._waiting_since = self.loop.time()
+        self._listener.mark_waiting(self)
         if self._unread:
             unread, self._unread = self._unread, b""
             self._gate.open()
@@ -238,6 +249,7 @@
     def pause_writing(self) -> None:
         """Limit the time for which the client reads nothing of a response."""
         super().pause_writing()
+        self._listener.mark_waiting(self)
         self._watch_writing()
 
     def resume_writing(self) -> None:
@@ -286,6 +298,7 @@
         self._listener.record(closure, peer=f"{ip}:{port}")
 
     def _release(self) -> None:
+        self._listener.closed(self)
         self._deadline.cancel()
         if self._write_timer is not None:
             self._write_timer.cancel()
--- a/rhubarbferry/serving/limits.py
+++ b/rhubarbferry/serving/limits.py
@@ -6,6 +6,10 @@
 from attrs.validators import ge, gt
 
 KIB = 1024
+MIB = 1024 * KIB
+# The event loop accepts this many connections before their limits are checked. Descriptors have to
+# suffice for them.
+ACCEPTS_AT_ONCE = 32
 
 
 @frozen(kw_only=True, slots=True)
@@ -18,6 +22,8 @@
     :param headers: largest number of headers.
     :param body_bytes: most bytes of a body that are read after its response has been sent. The
         application limits the body itself.
+    :param buffered_body_bytes: most bytes of a body that the process buffers until the request is
+        complete, or until the application has passed them on.
     :param head_timeout_s: seconds from the first byte of a head to its last one.
     :param idle_timeout_s: seconds without a request, and without a byte of an incomplete body.
     """
@@ -25,5 +31,6 @@
     head_bytes: int = field(default=64 * KIB, validator=gt(0))
     headers: int = field(default=200, validator=gt(0))
     body_bytes: int = field(default=256 * KIB, validator=ge(0))
+    buffered_body_bytes: int = field(default=256 * KIB, validator=ge(0))
     head_timeout_s: float = field(default=10.0, validator=gt(0))
     idle_timeout_s: float = field(default=75.0, validator=gt(0))
--- a/rhubarbferry/serving/request_reader.py
+++ b/rhubarbferry/serving/request_reader.py
@@ -16,6 +16,8 @@
 HEAD_END = b"\r\n\r\n"
 # The size of a chunk in at most 16 digits, and the line end.
 PLAIN_CHUNK_LINE_BYTES = 18
+# Memory for the objects of one header, besides its bytes.
+HEADER_OVERHEAD_BYTES = 150
 
 
 class Part(enum.Enum):
@@ -49,6 +51,7 @@
     part: Part = field(default=Part.BEFORE, init=False)
     head_bytes: int = field(default=0, init=False)
     head_complete: bool = field(default=False, init=False)
+    _body_bytes: int = field(default=0, init=False)
     _current: RequestLimits = field(init=False)
     _headers: int = field(default=0, init=False)
     _message_complete: bool = field(default=False, init=False)
@@ -69,6 +72,7 @@
         """Expect a new request."""
         self.part = Part.BEFORE
         self.head_bytes = 0
+        self._body_bytes = 0
         self._current = self.limits()
         self._headers = 0
         self.head_complete = self._message_complete = False
@@ -80,6 +84,12 @@
         self._chunk_line = b""
         self._chunk_overhead = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory for the current request, as far as it has been read, in bytes."""
+        body = min(self._body_bytes, self._current.buffered_body_bytes)
+        return self.head_bytes + self._headers * HEADER_OVERHEAD_BYTES + body
+
     def feed(self, data: bytes, start: int = 0) -> int:
         """Read from a position at most up to the end of the current request.
 
@@ -182,6 +192,7 @@
     def _feed_content(self, data: bytes, start: int) -> int:
         end = min(len(data), start + self._remaining)
         self._remaining -= end - start
+        self._body_bytes += end - start
         self._parse(data, start, end)
         if self._remaining == 0 and self.part is Part.CHUNK:
             self.part = Part.CHUNK_LINE
--- a/rhubarbferry/serving/server.py
+++ b/rhubarbferry/serving/server.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 
 import uvicorn
 
+from rhubarbferry.serving.limits import ACCEPTS_AT_ONCE
+
 # The Date header, where it is enabled, has a resolution of one second.
 DATE_REFRESH_INTERVAL_S = 1.0
 
@@ -28,6 +31,18 @@
         self.should_exit = True
         self._stopping.set()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start serving the sockets.
+
+        asyncio uses one number for the length of the queue of new connections and for the number
+        that it accepts at once.
+        """
+        queue_length = self.config.backlog
+        self.config.backlog = min(queue_length, ACCEPTS_AT_ONCE)
+        await super().startup(sockets=sockets)
+        for sock in sockets or ():
+            sock.listen(queue_length)
+
     async def main_loop(self) -> None:
         """Wait until the server is stopped.
 
