Bound the connections of the server for calls between processes

The server uses a listener, and the process's budget for frames and calls in progress.

What has been received and not yet read counts as well. An eighth of the descriptors is for peers, since all processes of a cell call its owner; 1,300 instead of 1,000 are kept from the connections to hosts for it, which changes their number from 281 hosts on with 4,100 descriptors, before from 311 on.

Before: 756 MB with 250 frames without their last byte, 192 MB with pings whose replies are not read, no answer within 20 s beside 500 half frames.

--- a/rhubarbferry/cell/peer_server.py
+++ b/rhubarbferry/cell/peer_server.py
@@ -41,6 +41,7 @@
 )
 from rhubarbferry.rpc.server import Server
 from rhubarbferry.rpc.services import PEER
+from rhubarbferry.serving.listener import Listener
 
 
 class PeerServer:
@@ -52,6 +53,7 @@
     :param store_reached: returns whether the store currently answers this process.
     :param take_over: replaces the owner's key, if it is at the given revision, by a key of this
         process, and returns whether it did.
+    :param listener: limits of the connections.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         term: Callable[[], OwnerCalls | None],
         store_reached: Callable[[], Awaitable[bool]],
         take_over: Callable[[int], Awaitable[bool]],
+        listener: Listener | None = None,
     ) -> None:
         self._clock = clock
         self._jobs = jobs
@@ -82,7 +85,7 @@
             "phase": self._phase,
             "cancel": self._cancel,
         }
-        self._server = Server(service=PEER, handlers=handlers)
+        self._server = Server(service=PEER, handlers=handlers, listener=listener)
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
--- a/rhubarbferry/platform/listeners.py
+++ b/rhubarbferry/platform/listeners.py
@@ -10,12 +10,19 @@
 from rhubarbferry.cell.routes import Limits, RouteTable
 from rhubarbferry.cell.settings import CellSettings
 from rhubarbferry.serving.limits import RequestLimits
-from rhubarbferry.serving.listener import DEFAULT_HELD_BYTES, ByteBudget, Listener, Report
+from rhubarbferry.serving.listener import (
+    DEFAULT_HELD_BYTES,
+    DEFAULT_LIMITS,
+    ByteBudget,
+    Listener,
+    Report,
+)
 
 # Used when the settings name no limit.
 DEFAULT_DESCRIPTORS = 4096
 # Shares of the descriptors. The others are for files, the store, hosts and calls to processes.
 CLIENT_SHARE = 1 / 8
+PEER_SHARE = 1 / 8
 # Share of the memory for unanswered requests.
 HELD_MEMORY_SHARE = 1 / 8
 # The load balancer and monitoring tools use a few connections each.
@@ -35,6 +42,7 @@
     clients: Listener
     health: Listener
     metrics: Listener
+    peers: Listener
 
 
 def create_listeners(
@@ -69,6 +77,7 @@
         clients=create("clients", max_clients, client_limits),
         health=create("health", HEALTH_CONNECTIONS, lambda: HEALTH_LIMITS),
         metrics=create("metrics", METRICS_CONNECTIONS, lambda: HEALTH_LIMITS),
+        peers=create("peers", int(descriptors * PEER_SHARE), lambda: DEFAULT_LIMITS),
     )
 
 
--- a/rhubarbferry/platform/order_connections.py
+++ b/rhubarbferry/platform/order_connections.py
@@ -15,7 +15,7 @@
 # More connections to one host are of no use: a host is rarely given more tasks at one moment.
 MAX_CONNECTIONS_PER_HOST = 8
 # Descriptors for files, clients, other processes, the store and new connections of all kinds.
-RESERVED_DESCRIPTORS = 1000
+RESERVED_DESCRIPTORS = 1300
 # Each host also has a connection on which its reports are awaited, and may have a second one while
 # a silent one is replaced.
 REPORT_CONNECTIONS_PER_HOST = 2
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -172,6 +172,7 @@
             term=lambda: self.candidate.term,
             store_reached=self.candidate.reaches_store,
             take_over=self.candidate.take_over,
+            listener=self.listeners.peers,
         )
         self.api = ClientApi(
             clock=self.clock,
--- a/rhubarbferry/rpc/framing.py
+++ b/rhubarbferry/rpc/framing.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from rhubarbferry.rpc.codec import LENGTH, MAX_FRAME_BYTES
 from rhubarbferry.rpc.errors import FrameTooLarge
 
+# Largest piece of a frame that is read at once.
+READ_BYTES = 64 * 1024
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes | None:
+
+async def read_frame(
+    reader: asyncio.StreamReader, *, received: Callable[[int], None] | None = None
+) -> bytes | None:
     """Return the next frame, or ``None`` when the peer closed the connection between frames.
 
+    :param received: called with the number of bytes of the frame that have been received, whenever
+        it changes.
     :raises FrameTooLarge: when the length exceeds the limit. The connection can't be used after
         that, since the rest of the frame is unread.
     :raises asyncio.IncompleteReadError: when the peer closed the connection within a frame.
@@ -24,7 +32,16 @@
     (length,) = LENGTH.unpack(prefix)
     if length > MAX_FRAME_BYTES:
         raise FrameTooLarge(f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}")
-    return await reader.readexactly(length)
+    if received is None:
+        return await reader.readexactly(length)
+    payload = bytearray()
+    while len(payload) < length:
+        piece = await reader.read(min(length - len(payload), READ_BYTES))
+        if not piece:
+            raise asyncio.IncompleteReadError(bytes(payload), length)
+        payload += piece
+        received(len(payload))
+    return bytes(payload)
 
 
 class FrameWriter:
--- a/tests/on_platform/test_connection_settings.py
+++ b/tests/on_platform/test_connection_settings.py
@@ -19,22 +19,23 @@
 
 
 @pytest.mark.parametrize(
-    ("descriptors", "memory_mb", "clients", "held_bytes"),
+    ("descriptors", "memory_mb", "clients", "peers", "held_bytes"),
     [
-        (4100, 300, 512, 300 * MIB // 8),
-        (8192, 200, 1024, 25 * MIB),
-        (400, 128, 50, 16 * MIB),
-        (0, 0, 512, 64 * MIB),
-        (4, 1, 1, MIB // 8),
+        (4100, 300, 512, 512, 300 * MIB // 8),
+        (8192, 200, 1024, 1024, 25 * MIB),
+        (400, 128, 50, 50, 16 * MIB),
+        (0, 0, 512, 512, 64 * MIB),
+        (4, 1, 1, 1, MIB // 8),
     ],
 )
 def test_limits_are_derived_from_descriptors_and_memory(
-    descriptors, memory_mb, clients, held_bytes
+    descriptors, memory_mb, clients, peers, held_bytes
 ):
     found = listeners(max_descriptors=descriptors, memory_bytes=memory_mb * MIB)
-    assert found.clients.max_connections == clients
+    assert (found.clients.max_connections, found.peers.max_connections) == (clients, peers)
     assert found.clients.budget.max_bytes == held_bytes
     assert found.clients.budget is found.health.budget is found.metrics.budget
+    assert found.clients.budget is found.peers.budget
 
 
 def test_settings_go_before_derived_limits():
@@ -42,7 +43,7 @@
     found = listeners(connections=settings, max_descriptors=4100, memory_bytes=300 * MIB)
     assert found.clients.max_connections == 7
     assert found.clients.budget.max_bytes == 8000
-    assert found.clients.write_timeout_s == 9.0
+    assert found.clients.write_timeout_s == found.peers.write_timeout_s == 9.0
 
 
 @pytest.mark.parametrize(
