--- a/rhubarbferry/scheduler/web.py
+++ b/rhubarbferry/scheduler/web.py
@@ -10,8 +10,11 @@
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-READ_TIMEOUT_S = 5.0
+# Time for a request and for reading its response.
+TIMEOUT_S = 5.0
 MAX_HEAD_BYTES = 8192
+# Monitoring tools use a few connections; further ones are closed at once.
+MAX_CONNECTIONS = 64
 PLAIN_TEXT = "text/plain; charset=utf-8"
 
 
@@ -24,6 +27,7 @@
     def __init__(self, *, ready: Callable[[], bool]) -> None:
         self._ready = ready
         self._server: asyncio.Server | None = None
+        self._connections = 0
         self.address = ""
 
     async def start(self, host: str, port: int) -> None:
@@ -38,15 +42,21 @@
             self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            writer.transport.abort()
+            return
+        self._connections += 1
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
+            async with asyncio.timeout(TIMEOUT_S):
                 head = await reader.readuntil(b"\r\n\r\n")
                 writer.write(self._respond(head))
-                await writer.drain()
+                writer.close()
+                await writer.wait_closed()
         except (TimeoutError, OSError, EOFError, asyncio.LimitOverrunError):
             pass
         finally:
-            writer.close()
+            self._connections -= 1
+            writer.transport.abort()
 
     def _respond(self, head: bytes) -> bytes:
         request_line = head.split(b"\r\n", 1)[0].split(b" ")
