Confirm a host at a takeover only once its runs are adopted

What callers saw: one task ran twice at the same time, ordered by two owners.

Cause: a new owner starts inherited tasks once each host of the roster has answered. Any report counted as that answer, also the first one of a newer incarnation, whose list of runs is not used: it shows the restart only, and the host is not called again until the host list has its new entry. An order of the earlier owner may have reached that incarnation. The call names the host by its id, and a ticket that the policy service issued after the restart is valid there. The run was not known, so its task was started on another host, and seconds later the first run was found and stopped.

Ruled out: adopting the runs of that report at once. It would be quicker, but the host is not polled until it is listed, so nobody would extend the leases of these runs or read their ends meanwhile.

Change: a host is confirmed once it is adopted, that is, by a report of the incarnation that the roster lists.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -197,7 +197,7 @@
 
     def host_gone(self, id: str, *, now: float) -> None:
         """Record that the current incarnation of a host has certainly ended."""
-        self.takeover.record_report(id)
+        self.takeover.record_end(id)
         host = self.tracker.hosts.get(id)
         if host is not None:
             self._apply_events(self.tracker.host_gone(host), now)
@@ -207,8 +207,11 @@
         host = self.tracker.hosts.get(id)
         if host is None:
             return
-        self.takeover.record_report(id)
         self._apply_events(self.tracker.handle_report(host, report, sent_at=sent_at, now=now), now)
+        if host.adopted:
+            # Until then its runs are unknown: of a new incarnation the first report shows only the
+            # restart, and an order of the earlier owner may have reached it.
+            self.takeover.record_adoption(id)
         self.pacing.record_report(host, now)
         self._stop_hung(host, now)
         for run in runs_to_stop(host, now):
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -31,16 +31,17 @@
 
 @define(kw_only=True, eq=False)
 class Takeover:
-    """Hosts of the roster that have not answered under the new owner's fence yet.
+    """Hosts of the roster that have not been adopted by the new owner yet.
 
     A host that can't be reached may still run tasks of the earlier owner and accept its orders. So
     a task that the earlier owner may have started there waits until the host has answered, after
-    which it refuses orders with an older fence, or until all its leases must have expired. Hosts
+    which it refuses orders with an older fence, and the runs that it reports are known, or until
+    all its leases must have expired. A report that only shows a restart is not enough. Hosts
     that were silent or leaving before the takeover are closed in the roster, so only the jobs
     listed there wait for them. Otherwise a single host that has left would delay all inherited jobs
     by 8 s.
 
-    :param unconfirmed: roster entries of the hosts that have not answered yet, by id.
+    :param unconfirmed: roster entries of the hosts that have not been adopted yet, by id.
     :param roster_known: whether ``unconfirmed`` lists all hosts that may run tasks. If not, all
         inherited jobs wait until the earlier leases must have expired.
     :param leases_expire_at: when every earlier task lease must have expired: the time of the
@@ -52,8 +53,12 @@
     roster_known: bool = True
     leases_expire_at: float
 
-    def record_report(self, id: str) -> None:
-        """Record that a host has answered under the new fence or its incarnation has ended."""
+    def record_adoption(self, id: str) -> None:
+        """Record that a host has answered under the new fence and that its runs are known."""
+        self.unconfirmed.pop(id, None)
+
+    def record_end(self, id: str) -> None:
+        """Record that the incarnation of a host which received orders has ended."""
         self.unconfirmed.pop(id, None)
 
     def expire(self, now: float) -> None:
