Stop waiting for unconfirmed hosts also when no inherited job waits

A host that restarts during a takeover and is never listed again stayed unconfirmed for good if the new owner had no inherited job: the waiting time was only looked at for such jobs. The host then stayed on the roster, was looked at every 0.05 s, and each later owner waited 7.9 s for it.

The test failed before (the host is still unconfirmed after 20 s) and passes now.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -556,10 +556,11 @@
 
     def _resume_inherited_jobs(self, now: float) -> None:
         """Resume the inherited jobs that no unconfirmed host can still be running."""
+        # Also without such jobs: hosts stay on the roster while they are unconfirmed.
+        self.takeover.expire(now)
         assumed = self.quotas.assumed_jobs
         if not self._unresolved_jobs and not assumed:
             return
-        self.takeover.expire(now)
         self.quotas.drop_assumptions(id for id in assumed if self.takeover.may_resume(id))
         for job in [
             job for job in self._unresolved_jobs.values() if self.takeover.may_resume(job.id)
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -101,6 +101,20 @@
     assert [order.task.job for order in world.starts(0.6)] == ["j"]
 
 
+def test_a_restarted_host_that_is_never_listed_again_leaves_the_roster():
+    """Guards against a host that stays unconfirmed for good if no inherited job waits for it."""
+    world = World("b", roster=("a", "b"))
+    world.dispatcher.host_listed(entry("a"), now=world.now)
+    world.hosts["a"] = SimulatedHost(id="a", incarnation=2)
+    world.deliver_reports()
+    world.dispatcher.host_unlisted("a")
+    for _ in range(40):
+        world.decide(0.5)
+        world.deliver_reports("b")
+    assert "a" not in world.dispatcher.takeover.unconfirmed
+    assert "a" not in world.dispatcher.tracker.hosts
+
+
 def test_attempts_of_inherited_tasks_are_above_those_of_earlier_owners():
     """Guards against two runs of a task with the same attempt number."""
     world = World("a", roster=("a",))
