Confirm a host at a takeover only once all its ends have been read

The same class as: a host counted as confirmed before what it reports was known. A report lists at most 500 ended runs. If a host holds more that no owner has recorded, the rest comes in later reports, once the first are acknowledged; a task whose end was among the rest was started again. The owner already knew this limit for runs that a report does not list.

The new test failed before: the task is started after the first report.

--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -208,7 +208,7 @@
         if host is None:
             return
         self._apply_events(self.tracker.handle_report(host, report, sent_at=sent_at, now=now), now)
-        if host.adopted:
+        if host.adopted and report.lists_all_ends:
             # Until then its runs are unknown: of a new incarnation the first report shows only the
             # restart, and an order of the earlier owner may have reached it.
             self.takeover.record_adoption(id)
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -306,6 +306,11 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether no later report lists further ends of this time."""
+        return len(self.ended) < MAX_ENDS_PER_REPORT
+
 
 class Refusal(StrEnum):
     """Why a host refused a start order; a refused order will not be carried out later either."""
@@ -387,6 +392,8 @@
 
 # Initial pace of every task: the full processor share.
 FULL_PERCENT = 100
+# A host lists at most this many ended runs in one report and the rest in later ones.
+MAX_ENDS_PER_REPORT = 500
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -27,8 +27,6 @@
 from rhubarbferry.dispatch.quotas import Quotas
 from rhubarbferry.dispatch.retries import next_retry
 
-# A host lists at most this many ended runs in one report and the rest in later ones.
-MAX_ENDS_PER_REPORT = 500
 # A stop order is sent again at this interval while the host still lists the run, since the order or
 # its answer may have been lost.
 STOP_RETRY_INTERVAL_S = 0.7
@@ -353,7 +351,7 @@
         self, host: Host, report: HostReport, listed: set[tuple[TaskId, int]], now: float
     ) -> list[RunEvent]:
         """End the runs that the host does not list and can no longer start."""
-        if len(report.ended) >= MAX_ENDS_PER_REPORT:
+        if not report.lists_all_ends:
             return []
         events: list[RunEvent] = []
         for key, run in list(host.runs.items()):
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -7,6 +7,7 @@
 
 from rhubarbferry.dispatch.job import JobPhase
 from rhubarbferry.dispatch.messages import (
+    MAX_ENDS_PER_REPORT,
     EndedTask,
     EndKind,
     HostPhase,
@@ -101,6 +102,30 @@
     assert [order.task.job for order in world.starts(0.6)] == ["j"]
 
 
+def test_a_task_whose_end_is_in_a_later_report_is_not_started_again():
+    """Guards against a host that counts as confirmed before all ends it lists have been read."""
+    world = World("b", roster=("a", "b"))
+    world.dispatcher.host_listed(entry("a"), now=world.now)
+    host = world.hosts["a"] = SimulatedHost(id="a")
+    task = TaskId(job="j", occurrence=0, step=0, index=0)
+    others = [
+        TaskId(job="ended", occurrence=0, step=0, index=i) for i in range(MAX_ENDS_PER_REPORT)
+    ]
+    ends = [
+        EndedTask(number=number, task=ended, attempt=1, how=EndKind.DONE)
+        for number, ended in enumerate([*others, task], start=1)
+    ]
+    world.add(inherited("j", step()))
+    host.ended = ends[:MAX_ENDS_PER_REPORT]
+    for _ in range(2):
+        world.deliver_reports()
+        assert world.starts(0.5) == []
+    host.ended = ends[MAX_ENDS_PER_REPORT:]
+    world.deliver_reports()
+    assert world.starts(0.5) == []
+    assert world.dispatcher.jobs["j"].phase is JobPhase.COMPLETE
+
+
 def test_a_restarted_host_that_is_never_listed_again_leaves_the_roster():
     """Guards against a host that stays unconfirmed for good if no inherited job waits for it."""
     world = World("b", roster=("a", "b"))
