Let only the jobs that a restarted host reports wait for its adoption

Since all inherited jobs wait for a host that has restarted during a takeover, until the host list has its new entry, up to 7.9 s. A report of the new incarnation answers a call under the new fence, so the host refuses all earlier orders from then on, and the runs of the earlier incarnation are gone. What may be lost track of is in that report: the jobs of its runs and ends. The roster entry that the takeover waits for is narrowed to these jobs, as for hosts that the roster lists as closed.

Ruled out: confirming the host and adopting the runs of the report (nobody would extend their leases until the host is listed); leaving the wait for all jobs, as one host would delay the cell.

The new test failed before: nothing starts.

--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -25,7 +25,7 @@
 UNRECORDED_ENDS_PAUSE_S = 0.12
 # Time for the response in addition to the poll's wait: some round trips, or one retransmission.
 RESPONSE_MARGIN_S = 0.4
-# A new owner starts no inherited task before each host has answered once. One lost answer must not
+# A new owner starts no inherited task before it has adopted each host. One lost answer must not
 # delay all of them, so the first poll of a host has a short timeout and is retried soon.
 FIRST_RESPONSE_MARGIN_S = 0.25
 FIRST_POLL_RETRY_INTERVAL_S = 0.05
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -197,21 +197,28 @@
 
     def host_gone(self, id: str, *, now: float) -> None:
         """Record that the current incarnation of a host has certainly ended."""
-        self.takeover.record_end(id)
+        self.takeover.record_host_gone(id)
         host = self.tracker.hosts.get(id)
         if host is not None:
             self._apply_events(self.tracker.host_gone(host), now)
 
     def handle_report(self, id: str, report: HostReport, *, sent_at: float, now: float) -> None:
-        """Process a host's report, which must answer a call under the current owner's fence."""
+        """Process a host's report, which must answer a call under the current owner's fence.
+
+        It also confirms a host at a takeover, as far as the runs that it lists are known.
+        """
         host = self.tracker.hosts.get(id)
         if host is None:
             return
+        restarted = report.incarnation > host.entry.incarnation
         self._apply_events(self.tracker.handle_report(host, report, sent_at=sent_at, now=now), now)
-        if host.adopted and report.lists_all_ends:
-            # Until then its runs are unknown: of a new incarnation the first report shows only the
-            # restart, and an order of the earlier owner may have reached it.
-            self.takeover.record_adoption(id)
+        if report.lists_all_ends:
+            if restarted:
+                # The report shows only the restart. An order of the earlier owner may have reached
+                # the new incarnation, whose runs are adopted once the host list contains it.
+                self.takeover.record_restart(id, report.jobs)
+            elif host.adopted:
+                self.takeover.record_adoption(id)
         self.pacing.record_report(host, now)
         self._stop_hung(host, now)
         for run in runs_to_stop(host, now):
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -59,8 +59,8 @@
     :param fence: fence number of all calls to this incarnation. It is ``None``, and the host is not
         called, until the stored roster lists the incarnation.
     :param listed: whether the host list contains it.
-    :param adopted: whether it has answered under the current owner's fence. Until then it may still
-        carry out an earlier owner's orders, so it receives no tasks.
+    :param adopted: whether it has answered under the current owner's fence and its runs are known.
+        Until then it may still carry out an earlier owner's orders, so it receives no tasks.
     :param closed: whether it receives no start orders because its roster entry says so; the next
         owner may rely on that entry and assume that the host is idle.
     :param used: room taken by its runs, including reserved ones.
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -311,6 +311,11 @@
         """Whether no later report lists further ends of this time."""
         return len(self.ended) < MAX_ENDS_PER_REPORT
 
+    @property
+    def jobs(self) -> set[str]:
+        """Ids of the jobs of the running and the ended tasks."""
+        return {row.task.job for row in (*self.running, *self.ended)}
+
 
 class Refusal(StrEnum):
     """Why a host refused a start order; a refused order will not be carried out later either."""
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import Factory, define, frozen
+from collections.abc import Iterable
+
+from attrs import Factory, define, evolve, frozen
 
 
 @frozen(kw_only=True, slots=True)
@@ -36,10 +38,10 @@
     A host that can't be reached may still run tasks of the earlier owner and accept its orders. So
     a task that the earlier owner may have started there waits until the host has answered, after
     which it refuses orders with an older fence, and the runs that it reports are known, or until
-    all its leases must have expired. A report that only shows a restart is not enough. Hosts
-    that were silent or leaving before the takeover are closed in the roster, so only the jobs
-    listed there wait for them. Otherwise a single host that has left would delay all inherited jobs
-    by 8 s.
+    all its leases must have expired. After a report that only shows a restart, the jobs that this
+    report names still wait. Hosts that were silent or leaving before the takeover are closed in the
+    roster, so only the jobs listed there wait for them. Otherwise a single host that has left would
+    delay all inherited jobs by 8 s.
 
     :param unconfirmed: roster entries of the hosts that have not been adopted yet, by id.
     :param roster_known: whether ``unconfirmed`` lists all hosts that may run tasks. If not, all
@@ -57,8 +59,22 @@
         """Record that a host has answered under the new fence and that its runs are known."""
         self.unconfirmed.pop(id, None)
 
-    def record_end(self, id: str) -> None:
-        """Record that the incarnation of a host which received orders has ended."""
+    def record_restart(self, id: str, jobs: Iterable[str]) -> None:
+        """Record that a later incarnation of a host has answered under the new fence.
+
+        From then on it refuses orders of an earlier owner, and the earlier incarnation has ended.
+
+        :param jobs: jobs of the runs and the ends that it reports, which are not adopted yet.
+        """
+        entry = self.unconfirmed.get(id)
+        if entry is not None:
+            self.unconfirmed[id] = evolve(entry, outstanding=tuple(sorted(jobs)))
+
+    def record_host_gone(self, id: str) -> None:
+        """Record that the incarnation of a host which received orders has ended.
+
+        Each order was sent to its address, where another host answers now.
+        """
         self.unconfirmed.pop(id, None)
 
     def expire(self, now: float) -> None:
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -102,6 +102,19 @@
     assert [order.task.job for order in world.starts(0.6)] == ["j"]
 
 
+def test_only_the_jobs_that_a_restarted_host_reports_wait_for_it():
+    """Guards against a cell in which all inherited jobs wait for one host that has restarted."""
+    world = take_over_from_restarted_host()
+    ended = TaskId(job="ended there", occurrence=0, step=0, index=0)
+    world.hosts["a"] = SimulatedHost(id="a", incarnation=3)
+    running(world.hosts["a"], TaskId(job="j", occurrence=0, step=0, index=0), 1)
+    world.hosts["a"].ended.append(EndedTask(number=1, task=ended, attempt=1, how=EndKind.DONE))
+    world.deliver_reports("a")
+    world.add(inherited("ended there", step()))
+    world.add(inherited("elsewhere", step()))
+    assert [order.task.job for order in world.starts(0.1)] == ["elsewhere"]
+
+
 def test_a_task_whose_end_is_in_a_later_report_is_not_started_again():
     """Guards against a host that counts as confirmed before all ends it lists have been read."""
     world = World("b", roster=("a", "b"))
