--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -314,7 +314,7 @@
     @property
     def jobs(self) -> set[str]:
         """Ids of the jobs of the running and the ended tasks."""
-        return {row.task.job for row in (*self.running, *self.ended)}
+        return {run.task.job for run in self.running} | {end.task.job for end in self.ended}
 
 
 class Refusal(StrEnum):
