Log what decides whether a start may still be carried out

Two runs of one task were ordered by two processes, and nothing in the log of either told whether an order was late, meant for another incarnation, or sent by a process that might no longer act. One of the two orders had no line at all: a call that is cancelled with the term left none.

`task.start` now says which incarnation the order was meant for, its deadline on the host's clock, what remained of its ticket, how long after the decision it was called and when a connection took it, and how long the owner might still act at that moment. That moment is told by the client's connection trace, since a call may wait for its connection after the ownership was checked. An order that the end of the term cuts off is logged as such, with `written_after_s` null if no connection had it.

`Tenure.acts_for_s` is positive exactly while `holds` is true and its end has not been noticed; the test plays answered, slow and silent renewals with leases of both lengths. No decision uses it.

Ruled out: a line before each call. It would double the lines, and a killed process is the only case that it would add.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import define
+from collections.abc import Callable
+
+from attrs import define, field
 from prometheus_client import Counter, Histogram
 
 from rhubarbferry.cell.logs import EventLog
@@ -44,13 +46,42 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+@define(kw_only=True, eq=False)
+class StartCall:
+    """Times of one call to start a task, for the log.
+
+    :param fence: fence number of the call.
+    :param now: returns the monotonic time in seconds.
+    :param acts_for_s: returns how long the owner may still act.
+    :ivar may_act_s: how long it might still act when a connection took the order, or at the call
+        before that.
+    """
+
+    order: StartOrder
+    fence: int
+    now: Callable[[], float]
+    acts_for_s: Callable[[], float]
+    called_at: float = field(init=False)
+    written_at: float | None = None
+    may_act_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.called_at = self.now()
+        self.may_act_s = self.acts_for_s()
+
+    def mark_written(self) -> None:
+        """Record that a connection has taken the order."""
+        self.written_at = self.now()
+        self.may_act_s = self.acts_for_s()
+
+
 @define(kw_only=True, eq=False)
 class DecisionLog:
     """Logs the owner's decisions and updates the metrics of their outcomes."""
 
     log: EventLog
 
-    def start(self, order: StartOrder, result: OrderResult, *, took_s: float, fence: int) -> None:
+    def start(self, call: StartCall, result: OrderResult) -> None:
         """Log a start order and its answer."""
         match result:
             case Started():
@@ -59,15 +90,32 @@
                 outcome = f"refused: {reason.value}"
             case Unanswered(detail=detail):
                 outcome = f"unanswered: {detail}"[:200]
+        START_SECONDS.observe(call.now() - call.called_at)
+        self._emit_start(call, outcome)
+
+    def start_cut_off(self, call: StartCall) -> None:
+        """Log a start order whose answer is not awaited, since the term has ended."""
+        self._emit_start(call, "cut off: the term has ended")
+
+    def _emit_start(self, call: StartCall, outcome: str) -> None:
+        order = call.order
         START_ORDERS.labels(outcome.partition(":")[0]).inc()
-        START_SECONDS.observe(took_s)
+        written_at = call.written_at
         self._emit(
             "task.start",
             order,
-            fence=fence,
+            incarnation=order.incarnation,
+            fence=call.fence,
             checkpoint=order.checkpoint or None,
             retries=order.retries,
-            took_s=round(took_s, 4),
+            deadline_s=round(order.deadline_s, 3),
+            ticket_s=round(order.ticket_until - call.called_at, 3) if order.ticket else None,
+            called_after_s=round(call.called_at - order.decided_at, 4),
+            written_after_s=(
+                round(written_at - order.decided_at, 4) if written_at is not None else None
+            ),
+            acts_for_s=round(call.may_act_s, 3),
+            took_s=round(call.now() - call.called_at, 4),
             outcome=outcome,
         )
 
--- a/rhubarbferry/cell/lease.py
+++ b/rhubarbferry/cell/lease.py
@@ -53,6 +53,7 @@
     _incarnation: int = 0
     _sent_at: float = float("-inf")
     _extended_at: float = float("-inf")
+    _acted_until: float = float("-inf")
     _answer_times: AnswerTimes = field(factory=AnswerTimes)
     _long_leases_until: float = float("-inf")
     _renewals: set[asyncio.Task[None]] = field(factory=set)
@@ -73,6 +74,21 @@
         lease = self.lease
         return lease if lease is not None and lease.holds(self.clock.monotonic()) else None
 
+    def acts_for_s(self, lease_id: int) -> float:
+        """Return how long an owner may still act if no further renewal is answered.
+
+        It is negative once it may not act any more: the time since it last could.
+
+        :param lease_id: lease that the owner's key is attached to.
+        """
+        holds = self.lease is not None and self.lease.id == lease_id
+        acts_until = self._acts_until() if holds else self._acted_until
+        return acts_until - self.clock.monotonic()
+
+    def _acts_until(self) -> float:
+        assert self.lease is not None
+        return min(self.lease.until, self._extended_at + LEASE_TTL_S - CLOCK_MARGIN_S)
+
     def store_reachable(self) -> bool:
         """Return whether the store has answered this process recently."""
         return self.clock.monotonic() - self.answered_at < STORE_ANSWER_MAX_AGE_S
@@ -173,5 +189,6 @@
             last_answered_ago_s=round(now - self.answered_at, 3),
             unanswered=len(self._renewals),
         )
+        self._acted_until = min(now, self._acts_until())
         self.lease = None
         self.granted.clear()
--- a/rhubarbferry/cell/orders.py
+++ b/rhubarbferry/cell/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
@@ -9,7 +10,7 @@
 
 from attrs import define, field
 
-from rhubarbferry.cell.decision_log import DecisionLog
+from rhubarbferry.cell.decision_log import DecisionLog, StartCall
 from rhubarbferry.cell.host_poller import HostPoller
 from rhubarbferry.cell.loop_lag import LAG_GOAL_S
 from rhubarbferry.cell.members import Member
@@ -109,11 +110,21 @@
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
 
     async def _call_start(self, host: Host, order: StartOrder) -> None:
-        sent_at = self.ctx.now()
-        fence = _fence(host)
-        result = await self.ctx.process.workers.start(host.entry, order, fence=fence)
+        call = StartCall(
+            order=order,
+            fence=_fence(host),
+            now=self.ctx.now,
+            acts_for_s=self.ctx.tenure.acts_for_s,
+        )
+        try:
+            result = await self.ctx.process.workers.start(
+                host.entry, order, fence=call.fence, on_written=call.mark_written
+            )
+        except asyncio.CancelledError:
+            self.log.start_cut_off(call)
+            raise
         now = self.ctx.now()
-        self.log.start(order, result, took_s=now - sent_at, fence=fence)
+        self.log.start(call, result)
         self.ctx.dispatcher.start_answered(order.host, order.task, order.attempt, result, now=now)
         self.ctx.wake.set()
 
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -51,6 +51,13 @@
         lease = self.keeper.valid_lease()
         return not self.ended and lease is not None and lease.id == self.lease_id
 
+    def acts_for_s(self) -> float:
+        """Return how long its lease still allows this process to act, whether or not it has ended.
+
+        It is negative once the lease does not.
+        """
+        return self.keeper.acts_for_s(self.lease_id)
+
     def check(self) -> None:
         """Check that this process may still be the owner, whether or not it may act now.
 
--- a/rhubarbferry/dispatch/messages.py
+++ b/rhubarbferry/dispatch/messages.py
@@ -357,7 +357,9 @@
     :param timeout_s: how long to wait for the answer.
     :param checkpoint: where the task resumes; empty to start from the beginning.
     :param ticket: proof of approval; empty if none is needed.
+    :param ticket_until: when the ticket stops being used, by the owner's monotonic clock.
     :param retries: how many times the order has been sent before.
+    :param decided_at: when the owner decided to send this copy, by its monotonic clock.
     """
 
     host: str
@@ -369,7 +371,9 @@
     timeout_s: float
     checkpoint: str = ""
     ticket: str = ""
+    ticket_until: float = 0.0
     retries: int = 0
+    decided_at: float = 0.0
 
 
 @frozen(kw_only=True, slots=True)
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -102,5 +102,7 @@
         timeout_s=START_TIMEOUTS_S[0],
         checkpoint=task.checkpoint if checkpoint is None else checkpoint,
         ticket=ticket,
+        ticket_until=_ticket_expires_at(task.step, host) if ticket else 0.0,
+        decided_at=now,
     )
     return run.order
--- a/rhubarbferry/dispatch/retries.py
+++ b/rhubarbferry/dispatch/retries.py
@@ -32,4 +32,4 @@
     timeout_s = START_TIMEOUTS_S[order.retries + 1]
     if host.clock.estimate(now) + timeout_s > order.deadline_s:
         return None
-    return evolve(order, retries=order.retries + 1, timeout_s=timeout_s)
+    return evolve(order, retries=order.retries + 1, timeout_s=timeout_s, decided_at=now)
--- a/rhubarbferry/platform/http_client.py
+++ b/rhubarbferry/platform/http_client.py
@@ -68,14 +68,22 @@
 
     :param timeout: cancels the call when it expires.
     :param transfer: timeouts that replace it while the response body is received.
+    :param on_connected: called when there is a connection for the request.
     """
 
     timeout: asyncio.Timeout
     transfer: TransferLimit | None
+    on_connected: Callable[[], None] | None = None
     connected: bool = False
     received_bytes: int = 0
     _transfer_deadline: float = float("inf")
 
+    def mark_connected(self) -> None:
+        """Record that there is a connection, to which the request is written next."""
+        self.connected = True
+        if self.on_connected is not None:
+            self.on_connected()
+
     def start_transfer(self, now: float) -> None:
         """Apply the transfer timeouts once the response headers have arrived."""
         if self.transfer is not None:
@@ -96,7 +104,7 @@
     _session: aiohttp.ClientSession, ctx: SimpleNamespace, _params: object
 ) -> None:
     if isinstance(ctx.trace_request_ctx, _CallProgress):
-        ctx.trace_request_ctx.connected = True
+        ctx.trace_request_ctx.mark_connected()
 
 
 def _connection_trace() -> aiohttp.TraceConfig:
@@ -132,6 +140,7 @@
         *,
         timeout_s: float,
         transfer: TransferLimit | None = None,
+        on_connected: Callable[[], None] | None = None,
         body: Any = None,
         query: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
@@ -145,6 +154,7 @@
             headers arrive.
         :param transfer: timeouts for the response body, which allow a large body on a slow link
             as long as it makes progress.
+        :param on_connected: called when there is a connection, just before the request is written.
 
         :raises NotSent: when no connection could be established in time.
         :raises NoAnswer: when the call failed after a connection was established.
@@ -154,7 +164,7 @@
         if data is not None:
             sent_headers["Content-Type"] = "application/json"
         timeout = asyncio.timeout(timeout_s + self._extra_timeout_s())
-        progress = _CallProgress(timeout=timeout, transfer=transfer)
+        progress = _CallProgress(timeout=timeout, transfer=transfer, on_connected=on_connected)
         started_at = asyncio.get_running_loop().time()
         try:
             async with timeout:
--- a/rhubarbferry/platform/workers.py
+++ b/rhubarbferry/platform/workers.py
@@ -106,7 +106,14 @@
             raise _error_for(response)
         return _decode_report(response.body, host)
 
-    async def start(self, host: HostEntry, order: StartOrder, *, fence: int) -> OrderResult:
+    async def start(
+        self,
+        host: HostEntry,
+        order: StartOrder,
+        *,
+        fence: int,
+        on_written: Callable[[], None] | None = None,
+    ) -> OrderResult:
         """Start a task."""
         body: dict[str, Any] = {
             "task": task_name(order.task),
@@ -121,7 +128,12 @@
             body["ticket"] = order.ticket
         try:
             response = await self._send(
-                self._orders.client, host, "run-start", body, timeout_s=order.timeout_s
+                self._orders.client,
+                host,
+                "run-start",
+                body,
+                timeout_s=order.timeout_s,
+                on_connected=on_written,
             )
         except NotSent:
             # No data was sent, so the host can't have started the task.
@@ -188,12 +200,14 @@
         *,
         timeout_s: float,
         transfer: TransferLimit | None = None,
+        on_connected: Callable[[], None] | None = None,
     ) -> Response:
         return await client.call(
             "POST",
             f"http://{host.address}/api/{path}",
             timeout_s=timeout_s,
             transfer=transfer,
+            on_connected=on_connected,
             body=body,
             headers={EXPECTED_HOST_HEADER: host.id},
         )
--- a/rhubarbferry/ports/workers.py
+++ b/rhubarbferry/ports/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from attrs import frozen
@@ -71,8 +72,18 @@
         """
         ...
 
-    async def start(self, host: HostEntry, order: StartOrder, *, fence: int) -> OrderResult:
-        """Start a task; return whether the host started it."""
+    async def start(
+        self,
+        host: HostEntry,
+        order: StartOrder,
+        *,
+        fence: int,
+        on_written: Callable[[], None] | None = None,
+    ) -> OrderResult:
+        """Start a task; return whether the host started it.
+
+        :param on_written: called when a connection takes the order.
+        """
         ...
 
     async def stop(self, host: HostEntry, order: StopOrder, *, fence: int) -> float:
--- a/tests/cell/test_busy_owner.py
+++ b/tests/cell/test_busy_owner.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import evolve
 
+from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.host_poller import HostPoller
 from rhubarbferry.cell.loop_lag import LAG_GOAL_S
 from rhubarbferry.cell.orders import MAX_CONCURRENT_CALLS, MIN_CONCURRENT_CALLS, OrderExecutor
@@ -32,7 +33,7 @@
 class UnresponsiveHosts:
     """Fake of the hosts that never answers a start order."""
 
-    async def start(self, host, order, *, fence):
+    async def start(self, host, order, *, fence, on_written):
         await asyncio.Event().wait()
 
 
@@ -46,7 +47,7 @@
         dispatcher=SimpleNamespace(
             tracker=SimpleNamespace(hosts={"a": Host(entry=ENTRY, fence=1)})
         ),
-        tenure=SimpleNamespace(holds=lambda: True, fence=1),
+        tenure=SimpleNamespace(holds=lambda: True, acts_for_s=lambda: 1.0, fence=1),
         wake=asyncio.Event(),
         now=asyncio.get_running_loop().time,
         **fields,
@@ -87,7 +88,7 @@
     tasks = []
     executor = OrderExecutor(
         ctx=context(2 * LAG_GOAL_S),
-        log=FakeEventLog(),
+        log=DecisionLog(log=FakeEventLog()),
         spawn=lambda call: tasks.append(asyncio.create_task(call)),
     )
     before = executor.start_capacity()
--- a/tests/cell/test_lease.py
+++ b/tests/cell/test_lease.py
@@ -144,3 +144,46 @@
     await cell.clock.advance(RENEWAL_INTERVAL_S)
     assert tenure.holds()
     cell.running.cancel()
+
+
+LEASES = {
+    "answered": (0.0, 0.0),
+    "slow": (SLOW_RENEWAL_S, 0.0),
+    "silent, an ordinary lease": (10.0, 0.0),
+    "silent, a long lease": (10.0, SLOW_RENEWAL_S),
+}
+
+
+@pytest.mark.parametrize(("answer_s", "before_s"), LEASES.values(), ids=LEASES.keys())
+async def test_an_owner_acts_for_exactly_as_long_as_it_says(answer_s, before_s):
+    """Guards against a log by which two owners act at once although they don't, or the reverse."""
+    cell = Cell()
+    await cell.clock.advance(RENEWAL_INTERVAL_S)
+    if before_s:
+        await cell.lose_lease()
+    tenure = Tenure(keeper=cell.keeper, lease_id=cell.keeper.lease.id, fence=FENCE)
+    cell.store.answer_s = answer_s
+    held = []
+    for _ in range(100):
+        await cell.clock.advance(0.05)
+        held.append(tenure.holds())
+        assert held[-1] is (tenure.acts_for_s() > 0.0)
+    assert all(held) is (answer_s < LEASE_TTL_S)
+    cell.running.cancel()
+
+
+@pytest.mark.parametrize("regained", [False, True], ids=["without a lease", "with another one"])
+async def test_the_time_since_an_owner_could_act_counts_from_the_end_of_its_lease(regained):
+    """Guards against an end of the ownership that seems to lie in the future."""
+    cell = Cell()
+    await cell.clock.advance(RENEWAL_INTERVAL_S)
+    tenure = Tenure(keeper=cell.keeper, lease_id=cell.keeper.lease.id, fence=FENCE)
+    cell.keeper.drop("test")
+    assert tenure.acts_for_s() == 0.0
+    if regained:
+        await cell.clock.advance(RENEWAL_INTERVAL_S)
+        assert cell.keeper.valid_lease() is not None
+    else:
+        cell.clock.jump(RENEWAL_INTERVAL_S)
+    assert tenure.acts_for_s() == pytest.approx(-RENEWAL_INTERVAL_S)
+    cell.running.cancel()
--- a/tests/on_platform/test_http_client.py
+++ b/tests/on_platform/test_http_client.py
@@ -130,6 +130,25 @@
     assert opened == 3
 
 
+async def test_each_call_tells_when_a_connection_takes_it():
+    """Guards against a log that tells nothing of how long an order waited for its connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            events.append("request")
+            writer.write(RESPONSE)
+        writer.close()
+
+    events: list[str] = []
+    async with client_and_server(serve, max_connections=1) as (client, url):
+        for _ in range(2):
+            await client.call(
+                "GET", url, timeout_s=5.0, on_connected=lambda: events.append("connected")
+            )
+    assert events == ["connected", "request"] * 2
+
+
 @pytest.fixture
 def full_accept_queue():
     """A listening socket with a full accept queue, which drops SYN packets."""
@@ -162,7 +181,14 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     ip, port = full_accept_queue.getsockname()
+    connected = []
     with pytest.raises(NotSent):
-        await client.call("GET", f"http://{ip}:{port}/", timeout_s=0.8)
+        await client.call(
+            "GET",
+            f"http://{ip}:{port}/",
+            timeout_s=0.8,
+            on_connected=lambda: connected.append(True),
+        )
     await client.close()
     assert loop.time() - started_at < 1.2
+    assert not connected
--- a/tests/on_platform/test_invalid_answers.py
+++ b/tests/on_platform/test_invalid_answers.py
@@ -93,8 +93,15 @@
 @pytest.mark.parametrize("body", INVALID_BODIES.values(), ids=INVALID_BODIES.keys())
 async def test_an_invalid_answer_to_a_start_order_is_none(body):
     """Guards against a start that counts as failed although the host may have carried it out."""
-    result = await call_host(body, lambda workers, host: workers.start(host, START, fence=1))
+    written = []
+    result = await call_host(
+        body,
+        lambda workers, host: workers.start(
+            host, START, fence=1, on_written=lambda: written.append(True)
+        ),
+    )
     assert isinstance(result, Unanswered)
+    assert written == [True]
 
 
 @pytest.mark.parametrize("body", INVALID_BODIES.values(), ids=INVALID_BODIES.keys())
