Log how an ownership begins and ends, and how hosts are confirmed

Two owners that acted at once could not be told apart from one that followed the other: the log had the begin of a term without its cause, its end without the moment, and no word of the hosts that a new owner gave up.

`term.begun` says how the process became the owner (vacant, former lease revoked, handed over, own earlier incarnation), from whom, since when the key was under way, and whether the write was answered. `term.ended` says by what the end was noticed (watch, listing, conflict, stale fence, lease or an own decision), when, how long the lease would still have allowed this process to act, and the age of the store's last answer. `host.adopted` says for a host that the takeover waited for how it was confirmed and after how long, and the new `host.confirmed` does so where no report was adopted: after a restart that a report only shows, a report of an earlier incarnation, or the answer of another host at its address. `takeover.hosts_given_up` names the hosts and jobs, ten of each at most, beside their counts.

No decision is changed.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from rhubarbferry.cell import keys
+from rhubarbferry.cell.acquisition import Acquisition, Opportunity
 from rhubarbferry.cell.hand_over import hand_over
 from rhubarbferry.cell.members import Member, Ownership, election_rank, encode_member
 from rhubarbferry.cell.prefix_watch import PrefixWatcher
@@ -60,6 +61,8 @@
     _vacant_since: float | None = None
     _election_seed: int = 0
     _overloaded_until: float = float("-inf")
+    _attempt: Acquisition | None = None
+    _acquired_fence: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._watcher = self.process.watch_prefix(keys.CONTROL)
@@ -112,7 +115,7 @@
         :returns: whether this process is now the owner.
         """
         self.process.log.emit("owner.asked_to_take_over", fence=fence)
-        return await self._acquire(replaces=fence)
+        return await self._acquire(Opportunity.HANDED_OVER, replaces=fence)
 
     async def replace_unresponsive(self, ownership: Ownership) -> bool:
         """Replace an owner that does not respond.
@@ -130,10 +133,10 @@
         except StoreError as exc:
             self.process.log.emit("owner.not_replaced", reason=str(exc)[:200])
             return False
-        await self._acquire(replaces=0)
+        await self._acquire(Opportunity.LEASE_REVOKED if ended else Opportunity.VACANT, replaces=0)
         return ended
 
-    async def _acquire(self, *, replaces: int) -> bool:
+    async def _acquire(self, opportunity: Opportunity, *, replaces: int) -> bool:
         """Write the owner's key for this process, unless it may not become the owner now.
 
         :param replaces: revision of the owner's key to replace, 0 if there is none.
@@ -143,7 +146,7 @@
         if lease is None or self._draining or self.term is not None or self._overloaded():
             return False
         try:
-            ownership = await self._write_owner_key(lease, replaces=replaces)
+            ownership = await self._write_owner_key(lease, opportunity, replaces=replaces)
         except StoreError as exc:
             self.process.log.emit("owner.not_replaced", reason=str(exc)[:200])
             return False
@@ -187,7 +190,7 @@
             # The key was written by an earlier incarnation of this process. An address belongs to
             # one process only, so that incarnation has exited. Waiting for its lease to expire
             # would only lengthen the gap.
-            await self._acquire_and_run(lease, replaces=ownership.fence)
+            await self._acquire_and_run(lease, Opportunity.OWN_EARLIER, replaces=ownership.fence)
         else:
             await self._follow_changes(WATCH_TIMEOUT_S)
 
@@ -254,22 +257,33 @@
         if remaining_s > 0:
             await self._follow_changes(remaining_s)
             return
-        await self._acquire_and_run(lease, replaces=0)
+        await self._acquire_and_run(lease, Opportunity.VACANT, replaces=0)
 
-    async def _acquire_and_run(self, lease: Lease, *, replaces: int) -> None:
-        ownership = await self._write_owner_key(lease, replaces=replaces)
+    async def _acquire_and_run(
+        self, lease: Lease, opportunity: Opportunity, *, replaces: int
+    ) -> None:
+        ownership = await self._write_owner_key(lease, opportunity, replaces=replaces)
         self._watcher.restart()
         if ownership is not None:
             self.process.view.set_owner(ownership)
             await self._run_term(ownership, lease)
 
-    async def _write_owner_key(self, lease: Lease, *, replaces: int) -> Ownership | None:
+    async def _write_owner_key(
+        self, lease: Lease, opportunity: Opportunity, *, replaces: int
+    ) -> Ownership | None:
         """Write the owner's key.
 
         :param replaces: revision of the owner's key to replace, 0 if there is none.
         :returns: the new ownership, ``None`` if the key has another revision.
         """
         value = encode_member(self.process.own)
+        earlier = self._attempt
+        attempt = self._attempt = Acquisition(
+            opportunity=opportunity,
+            former=self.process.view.last_owner,
+            replaces=replaces,
+            sent_at=self.process.clock.monotonic(),
+        )
         result = await self.process.store.commit(
             Txn(
                 expect=(Expect(key=keys.OWNER, revision=replaces),),
@@ -277,13 +291,17 @@
             )
         )
         if not isinstance(result, Committed):
+            # An earlier write without an answer may have taken effect.
+            self._attempt = earlier
             return None
+        self._attempt = attempt
+        self._acquired_fence = result.revision
         return Ownership(owner=self.process.own, fence=result.revision, lease_id=lease.id)
 
     async def _run_term(self, ownership: Ownership, lease: Lease) -> None:
         tenure = Tenure(keeper=self.process.keeper, lease_id=lease.id, fence=ownership.fence)
         term = Term(process=self.process, tenure=tenure)
-        self.process.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
+        self._log_begun(tenure)
         self.term = term
         self._term_task = asyncio.create_task(term.run())
         failed = False
@@ -306,9 +324,36 @@
         if failed:
             await asyncio.sleep(FAILED_TERM_BACKOFF_S)
 
+    def _log_begun(self, tenure: Tenure) -> None:
+        attempt = self._attempt
+        fields: dict[str, object] = {}
+        if attempt is not None:
+            fields = {
+                "acquired": attempt.opportunity.value,
+                "former": attempt.former_name,
+                "former_fence": attempt.former_fence,
+                "key_sent_ago_s": round(self.process.clock.monotonic() - attempt.sent_at, 3),
+                "key_answered": tenure.fence == self._acquired_fence,
+            }
+        self.process.log.emit("term.begun", fence=tenure.fence, lease=tenure.lease_id, **fields)
+
+    def _log_ended(self, tenure: Tenure) -> None:
+        now = self.process.clock.monotonic()
+        noticed_at = tenure.ended_at if tenure.ended_at is not None else now
+        acts_for_s = tenure.acted_for_s if tenure.ended_at is not None else tenure.acts_for_s()
+        self.process.log.emit(
+            "term.ended",
+            fence=tenure.fence,
+            reason=tenure.ended or "left",
+            noticed_by=tenure.noticed_by.value,
+            noticed_ago_s=round(now - noticed_at, 3),
+            acts_for_s=round(acts_for_s, 3),
+            store_answered_ago_s=round(now - self.process.keeper.answered_at, 3),
+        )
+
     async def _release(self, term: Term) -> None:
         tenure = term.tenure
-        self.process.log.emit("term.ended", fence=tenure.fence, reason=tenure.ended or "left")
+        self._log_ended(tenure)
         if tenure.handed_over or await self._remove_key(term):
             return
         # The key may still exist under a lease that this process keeps renewing, and then no
--- a/rhubarbferry/cell/cleaner.py
+++ b/rhubarbferry/cell/cleaner.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.term_context import OwnershipLost, TermContext
+from rhubarbferry.cell.term_context import EndSignal, OwnershipLost, TermContext
 from rhubarbferry.dispatch.record import RecordError, decode_status
 from rhubarbferry.ports.store import Conflict, StoreError, Txn
 
@@ -93,5 +93,5 @@
     async def _remove(self, key_names: list[str]) -> None:
         txn = Txn(expect=(self.ctx.tenure.condition(),), delete=tuple(key_names))
         if isinstance(await self.ctx.process.store.commit(txn), Conflict):
-            self.ctx.tenure.end("another process has taken over")
+            self.ctx.tenure.end("another process has taken over", by=EndSignal.CONFLICT)
             raise OwnershipLost("another process has taken over")
--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -20,6 +20,7 @@
     TaskId,
     Unanswered,
 )
+from rhubarbferry.dispatch.takeover import HostsGivenUp
 from rhubarbferry.dispatch.tracker import HostRestarted, RunEnded, RunFound, RunHung, RunRefused
 
 START_ORDERS = Counter(
@@ -40,6 +41,9 @@
     "rhubarbferry_approvals_failed_total", "Approval requests without an answer"
 )
 
+# Most ids of one kind in a line.
+MAX_LISTED_IDS = 10
+
 
 def task_label(task: TaskId) -> str:
     """Return a task's identifier within its job, for a log event."""
@@ -77,9 +81,13 @@
 
 @define(kw_only=True, eq=False)
 class DecisionLog:
-    """Logs the owner's decisions and updates the metrics of their outcomes."""
+    """Logs the owner's decisions and updates the metrics of their outcomes.
+
+    :param fence: fence number of the owner.
+    """
 
     log: EventLog
+    fence: int = 0
 
     def start(self, call: StartCall, result: OrderResult) -> None:
         """Log a start order and its answer."""
@@ -202,6 +210,8 @@
                         incarnation=event.incarnation,
                         host_clock_s=round(event.clock_s, 3),
                     )
+                case HostsGivenUp():
+                    self._hosts_given_up(event)
                 case RunHung():
                     percents = [value for value in event.gang_percents if value is not None]
                     self._emit_run(
@@ -222,3 +232,15 @@
                         incarnation=event.incarnation,
                         unclear=event.unclear,
                     )
+
+    def _hosts_given_up(self, event: HostsGivenUp) -> None:
+        self.log.emit(
+            "takeover.hosts_given_up",
+            fence=self.fence,
+            hosts=event.hosts[:MAX_LISTED_IDS],
+            host_count=len(event.hosts),
+            jobs=event.jobs[:MAX_LISTED_IDS],
+            job_count=len(event.jobs),
+            roster_known=event.roster_known,
+            waited_s=round(event.waited_s, 3),
+        )
--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -9,6 +9,8 @@
 from rhubarbferry.cell.loop_lag import LAG_GOAL_S
 from rhubarbferry.cell.term_context import TermContext
 from rhubarbferry.dispatch.hosts import MAX_POLL_WAIT_S, POLL_WAIT_S, Host
+from rhubarbferry.dispatch.messages import HostReport
+from rhubarbferry.dispatch.takeover import RosterEntry
 from rhubarbferry.ports.workers import (
     FenceStale,
     TaskLeaseRequest,
@@ -100,7 +102,11 @@
         except WorkerGone as exc:
             if ctx.fence_is_current(host, fence):
                 ctx.process.log.emit("host.gone", host=self.id, reason=str(exc))
+                awaited = ctx.dispatcher.takeover.unconfirmed.get(self.id)
                 ctx.dispatcher.host_gone(self.id, now=ctx.now())
+                confirmed = self._confirmation(awaited, "another host at its address")
+                if confirmed:
+                    ctx.process.log.emit("host.confirmed", host=self.id, fence=fence, **confirmed)
                 ctx.wake.set()
             return False
         except WorkerError as exc:
@@ -113,18 +119,44 @@
         if sent_at >= host.poll_failed_at:
             host.poll_failed_at = float("-inf")
         was_adopted = host.adopted
+        awaited = ctx.dispatcher.takeover.unconfirmed.get(self.id)
         ctx.dispatcher.handle_report(self.id, report, sent_at=sent_at, now=ctx.now())
-        if host.adopted and not was_adopted:
+        adopted = host.adopted and not was_adopted
+        confirmed = self._confirmation(awaited, _confirmed_by(awaited, report, host))
+        if adopted or confirmed:
             ctx.process.log.emit(
-                "host.adopted",
+                "host.adopted" if adopted else "host.confirmed",
                 host=self.id,
                 incarnation=report.incarnation,
                 running=len(report.running),
                 ended=len(report.ended),
                 fence=fence,
+                **confirmed,
             )
         if host.seen_end > host.recorded_end:
             ctx.record.set()
         ctx.note_changes()
         ctx.wake.set()
         return True
+
+    def _confirmation(self, awaited: RosterEntry | None, by: str) -> dict[str, object]:
+        """Return the fields of a host that the takeover no longer waits for, else none.
+
+        :param awaited: entry of the host while the takeover waited for it.
+        """
+        takeover = self.ctx.dispatcher.takeover
+        if awaited is None or self.id in takeover.unconfirmed:
+            return {}
+        return {
+            "listed_incarnation": awaited.incarnation,
+            "confirmed_by": by,
+            "after_s": round(self.ctx.now() - takeover.began_at, 3),
+        }
+
+
+def _confirmed_by(awaited: RosterEntry | None, report: HostReport, host: Host) -> str:
+    if awaited is None or report.incarnation == awaited.incarnation:
+        return "report"
+    if report.incarnation < awaited.incarnation:
+        return "report of an earlier incarnation"
+    return "report of a later incarnation" if host.adopted else "restart, runs not read"
--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -9,7 +9,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.prefix_watch import PrefixWatcher
-from rhubarbferry.cell.term_context import OwnershipLost, TermContext
+from rhubarbferry.cell.term_context import EndSignal, OwnershipLost, TermContext
 from rhubarbferry.dispatch.job import MAX_JOB_AGE_S, Job
 from rhubarbferry.dispatch.record import (
     JobRecord,
@@ -120,7 +120,7 @@
                 case KeyPut(kv=kv):
                     self._apply_put(kv, {})
                 case KeyDeleted(key=key) if key == keys.OWNER:
-                    self._end_tenure("its key was removed")
+                    self._end_tenure("its key was removed", EndSignal.WATCH)
         self.ctx.wake.set()
 
     def accepted(self, job: AcceptedJob) -> bool:
@@ -149,22 +149,24 @@
         self.ctx.process.view.replace(control, revision=listing.revision)
         ownership = self.ctx.process.view.ownership
         if ownership is None or ownership.fence != self.ctx.tenure.fence:
-            self._end_tenure("its key was removed or replaced")
+            self._end_tenure("its key was removed or replaced", EndSignal.LISTING)
         # Process jobs first: the cancellation of an unknown job is taken for that of an ended one.
         items = sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS))
         for number, item in enumerate(items, start=1):
-            self._apply_put(item, states)
+            self._apply_put(item, states, signal=EndSignal.LISTING)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         self.ctx.wake.set()
 
-    def _end_tenure(self, reason: str) -> None:
-        self.ctx.tenure.end(reason)
+    def _end_tenure(self, reason: str, signal: EndSignal) -> None:
+        self.ctx.tenure.end(reason, by=signal)
         raise OwnershipLost(reason)
 
-    def _apply_put(self, kv: KeyValue, states: dict[str, KeyValue]) -> None:
+    def _apply_put(
+        self, kv: KeyValue, states: dict[str, KeyValue], *, signal: EndSignal = EndSignal.WATCH
+    ) -> None:
         if kv.key == keys.OWNER and kv.mod_revision != self.ctx.tenure.fence:
-            self._end_tenure("its key was replaced")
+            self._end_tenure("its key was replaced", signal)
         elif kv.key.startswith(keys.JOBS):
             self._add_job(kv, states)
         elif kv.key.startswith(keys.CANCELS):
--- a/rhubarbferry/cell/members.py
+++ b/rhubarbferry/cell/members.py
@@ -89,12 +89,14 @@
     """The members and the owner, kept up to date from listings and watches.
 
     :ivar registered: store revision at which each member registered.
+    :ivar last_owner: the owner that was seen last, also after its key was removed.
     :ivar version: incremented with each change of the members.
     """
 
     members: dict[str, Member] = field(factory=dict)
     registered: dict[str, int] = field(factory=dict)
     ownership: Ownership | None = None
+    last_owner: Ownership | None = None
     version: int = 0
 
     def replace(self, items: Iterable[KeyValue], *, revision: int) -> None:
@@ -145,7 +147,7 @@
         schedule.
         """
         if self.ownership is None or ownership.fence >= self.ownership.fence:
-            self.ownership = ownership
+            self.ownership = self.last_owner = ownership
 
     def _delete(self, key: str, revision: int) -> None:
         if key == keys.OWNER:
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -9,7 +9,7 @@
 from prometheus_client import Counter, Histogram
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.term_context import OwnershipLost, TermContext
+from rhubarbferry.cell.term_context import EndSignal, OwnershipLost, TermContext
 from rhubarbferry.dispatch.job import Job
 from rhubarbferry.dispatch.record import encode_state
 from rhubarbferry.ports.store import (
@@ -149,7 +149,7 @@
     def _handle_conflict(self, group: list[_Snapshot], conflict: Conflict) -> None:
         owner = conflict.items.get(keys.OWNER)
         if owner is None or owner.mod_revision != self.ctx.tenure.fence:
-            self.ctx.tenure.end("another process has taken over")
+            self.ctx.tenure.end("another process has taken over", by=EndSignal.CONFLICT)
             raise OwnershipLost("another process has taken over")
         for snapshot in group:
             item = conflict.items.get(keys.STATES + snapshot.job.id)
--- a/rhubarbferry/cell/roster.py
+++ b/rhubarbferry/cell/roster.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from rhubarbferry.cell import keys
-from rhubarbferry.cell.term_context import OwnershipLost, Tenure
+from rhubarbferry.cell.term_context import EndSignal, OwnershipLost, Tenure
 from rhubarbferry.dispatch.roster import next_fences
 from rhubarbferry.dispatch.takeover import RosterEntry
 from rhubarbferry.ports.store import Conflict, Expect, KeyValue, Put, Txn, TxnStore
@@ -86,7 +86,7 @@
     def _handle_conflict(self, conflict: Conflict) -> None:
         owner = conflict.items.get(keys.OWNER)
         if owner is None or owner.mod_revision != self.tenure.fence:
-            self.tenure.end("another process has taken over")
+            self.tenure.end("another process has taken over", by=EndSignal.CONFLICT)
             raise OwnershipLost("another process has taken over")
         # An earlier write by this process took effect although its answer was lost.
         item = conflict.items.get(keys.ROSTER)
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -22,7 +22,13 @@
 from rhubarbferry.cell.owner_calls import AcceptedJob
 from rhubarbferry.cell.recorder import Recorder
 from rhubarbferry.cell.roster import Roster, RosterError
-from rhubarbferry.cell.term_context import OwnershipLost, ProcessContext, Tenure, TermContext
+from rhubarbferry.cell.term_context import (
+    EndSignal,
+    OwnershipLost,
+    ProcessContext,
+    Tenure,
+    TermContext,
+)
 from rhubarbferry.dispatch.dispatcher import Dispatcher
 from rhubarbferry.dispatch.hosts import LEASE_EXPIRY_MARGIN_S, MAX_CLOCK_DRIFT
 from rhubarbferry.dispatch.job import JobPhase, JobStatus
@@ -95,10 +101,11 @@
         self._took_over_at = self.process.clock.monotonic()
         lease_s = self.process.cfg.bounds.task_lease_s
         takeover = Takeover(
+            began_at=self._took_over_at,
             leases_expire_at=self._took_over_at
             + LEASE_TTL_S
             + lease_s * (1 + MAX_CLOCK_DRIFT)
-            + LEASE_EXPIRY_MARGIN_S
+            + LEASE_EXPIRY_MARGIN_S,
         )
         self.ctx = TermContext(
             process=self.process,
@@ -108,7 +115,7 @@
         self._roster = Roster(store=self.process.store, tenure=self.tenure)
         self._job_watcher = JobWatcher(ctx=self.ctx)
         self._recorder = Recorder(ctx=self.ctx)
-        self._log = DecisionLog(log=self.process.log)
+        self._log = DecisionLog(log=self.process.log, fence=self.tenure.fence)
         self._account_usage = AccountUsageReport(
             log=self.process.log, dispatcher=self.ctx.dispatcher
         )
@@ -167,7 +174,7 @@
                 self._spawn(self._hand_over_if_disconnected())
                 await self._run_decisions()
         except* OwnershipLost as lost:
-            self.tenure.end(str(lost.exceptions[0]))
+            self.tenure.end(str(lost.exceptions[0]), by=EndSignal.LEASE)
         finally:
             self._account_usage.clear()
             self.load.clear_metrics()
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Callable
 
 from attrs import define, field, frozen
@@ -26,6 +27,17 @@
     """This process is no longer the owner of the cell, or can't be certain that it is."""
 
 
+class EndSignal(enum.Enum):
+    """By what a process notices that its ownership has ended."""
+
+    OWN = "own decision"
+    WATCH = "watch"
+    LISTING = "listing"
+    CONFLICT = "conflict"
+    FENCE = "stale fence"
+    LEASE = "lease"
+
+
 @define(kw_only=True, eq=False)
 class Tenure:
     """This process's ownership of the cell, which ends with its lease at the latest.
@@ -35,6 +47,9 @@
     :param fence: store revision of the owner's key.
     :ivar ended: why the ownership ended, empty while it has not.
     :ivar handed_over: whether another process has replaced the key at this process's request.
+    :ivar noticed_by: by what the end was noticed.
+    :ivar ended_at: when the end was noticed.
+    :ivar acted_for_s: how long its lease still allowed this process to act at that time.
     """
 
     keeper: LeaseKeeper
@@ -42,6 +57,9 @@
     fence: int
     ended: str = ""
     handed_over: bool = False
+    noticed_by: EndSignal = EndSignal.OWN
+    ended_at: float | None = None
+    acted_for_s: float = 0.0
 
     def holds(self) -> bool:
         """Return whether this process may act as the owner now.
@@ -67,9 +85,14 @@
         if self.ended or lease is None or lease.id != self.lease_id:
             raise OwnershipLost(self.ended or "the lease was not extended in time")
 
-    def end(self, reason: str) -> None:
+    def end(self, reason: str, *, by: EndSignal = EndSignal.OWN) -> None:
         """Mark the ownership as lost; the first reason is kept."""
-        self.ended = self.ended or reason
+        if self.ended:
+            return
+        self.ended = reason
+        self.noticed_by = by
+        self.ended_at = self.keeper.clock.monotonic()
+        self.acted_for_s = self.acts_for_s()
 
     def condition(self) -> Expect:
         """Return the condition that every write by the owner includes."""
@@ -160,7 +183,7 @@
         """
         host = self.dispatcher.tracker.hosts.get(id)
         if host is not None and host.fence == fence:
-            self.tenure.end(f"host {id}: {reason}")
+            self.tenure.end(f"host {id}: {reason}", by=EndSignal.FENCE)
         else:
             self.process.log.emit(
                 "host.refused_earlier_call",
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -48,7 +48,7 @@
 from rhubarbferry.dispatch.preemption import Holds
 from rhubarbferry.dispatch.quota_blocks import QuotaBlocks
 from rhubarbferry.dispatch.quotas import Quotas
-from rhubarbferry.dispatch.takeover import Takeover
+from rhubarbferry.dispatch.takeover import HostsGivenUp, Takeover
 from rhubarbferry.dispatch.tracker import (
     RunEnded,
     RunEvent,
@@ -93,7 +93,7 @@
     :param lease_s: maximum task lease that a host grants, in seconds.
     :ivar dirty: jobs whose state in the store is out of date, in the order of their first change.
     :ivar ended: final status of each job whose end has been written to the store.
-    :ivar run_events: ended and refused runs that the caller has not logged yet.
+    :ivar run_events: changes of runs and hosts that the caller has not logged yet.
     """
 
     takeover: Takeover
@@ -101,7 +101,7 @@
     jobs: dict[str, Job] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
     ended: dict[str, JobStatus] = Factory(dict)
-    run_events: list[RunEvent] = Factory(list)
+    run_events: list[RunEvent | HostsGivenUp] = Factory(list)
     quotas: Quotas = Factory(Quotas)
     tracker: Tracker = field(init=False)
     waiting: WaitingSteps = Factory(WaitingSteps)
@@ -556,6 +556,8 @@
         assumed = self.quotas.assumed_jobs
         if not self._unresolved_jobs and not assumed:
             return
+        if self.takeover.gives_up_hosts(now):
+            self._record_hosts_given_up(now)
         self.takeover.expire(now)
         self.quotas.drop_assumptions(id for id in assumed if self.takeover.may_resume(id))
         for job in [
@@ -569,6 +571,17 @@
                 if step in self.waiting:
                     self._candidates.include(step)
 
+    def _record_hosts_given_up(self, now: float) -> None:
+        takeover = self.takeover
+        self.run_events.append(
+            HostsGivenUp(
+                hosts=tuple(takeover.unconfirmed),
+                jobs=tuple(id for id in self._unresolved_jobs if not takeover.may_resume(id)),
+                roster_known=takeover.roster_known,
+                waited_s=now - takeover.began_at,
+            )
+        )
+
     @property
     def takeover_complete(self) -> bool:
         """Whether no inherited job waits for unconfirmed hosts."""
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -29,6 +29,22 @@
         return self.outstanding is None or job in self.outstanding
 
 
+@frozen(kw_only=True, slots=True)
+class HostsGivenUp:
+    """Hosts that a new owner has stopped waiting for, since all earlier leases must have expired.
+
+    :param hosts: ids of the hosts that have not answered.
+    :param jobs: ids of the inherited jobs that waited for them.
+    :param roster_known: whether the stored roster could be read.
+    :param waited_s: time since the takeover.
+    """
+
+    hosts: tuple[str, ...]
+    jobs: tuple[str, ...]
+    roster_known: bool
+    waited_s: float
+
+
 @define(kw_only=True, eq=False)
 class Takeover:
     """Hosts of the roster that have not answered under the new owner's fence yet.
@@ -46,16 +62,23 @@
     :param leases_expire_at: when every earlier task lease must have expired: the time of the
         takeover plus the earlier owner's own lease, the longest task lease and the maximum
         clock drift.
+    :param began_at: time of the takeover.
     """
 
     unconfirmed: dict[str, RosterEntry] = Factory(dict)
     roster_known: bool = True
     leases_expire_at: float
+    began_at: float = 0.0
 
     def record_report(self, id: str) -> None:
         """Record that a host has answered under the new fence or its incarnation has ended."""
         self.unconfirmed.pop(id, None)
 
+    def gives_up_hosts(self, now: float) -> bool:
+        """Return whether :meth:`expire` would stop waiting for hosts now."""
+        waiting = bool(self.unconfirmed) or not self.roster_known
+        return waiting and now >= self.leases_expire_at
+
     def expire(self, now: float) -> None:
         """Stop waiting for hosts once all earlier leases must have expired."""
         if now >= self.leases_expire_at:
--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -23,7 +23,7 @@
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Put, Txn
 
-from .fakes import FakeEventLog, member, record
+from .fakes import FakeEventLog, keeper_of, member, record
 
 LEASE_ID = 7
 
@@ -64,7 +64,7 @@
     ctx = TermContext(
         process=process,
         tenure=Tenure(
-            keeper=SimpleNamespace(valid_lease=lambda: lease, kept_lease=lambda: lease),
+            keeper=keeper_of(lease),
             lease_id=LEASE_ID,
             fence=fence,
         ),
--- a/tests/cell/test_restarted_hosts.py
+++ b/tests/cell/test_restarted_hosts.py
@@ -12,7 +12,7 @@
 from rhubarbferry.cell.decision_log import DecisionLog
 from rhubarbferry.cell.host_poller import HostPoller
 from rhubarbferry.cell.orders import OrderExecutor
-from rhubarbferry.cell.term_context import TermContext
+from rhubarbferry.cell.term_context import EndSignal, TermContext
 from rhubarbferry.dispatch.hosts import Host
 from rhubarbferry.dispatch.messages import (
     HostEntry,
@@ -21,6 +21,7 @@
     StopOrder,
     TaskId,
 )
+from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.workers import FenceStale, WorkerGone, WorkerSilent
 
@@ -77,6 +78,7 @@
         ),
         dispatcher=SimpleNamespace(
             dirty={},
+            takeover=Takeover(leases_expire_at=0.0),
             handle_report=lambda *args, **fields: None,
             stop_answered=lambda host, task, attempt, clock_s: stopped.append(clock_s),
             tracker=SimpleNamespace(hosts={"a": host}),
@@ -178,9 +180,9 @@
     workers = SimpleNamespace(extend_leases=AsyncMock(side_effect=FenceStale("higher")))
     ctx = context(host, workers, [])
     ended = []
-    ctx.tenure.end = ended.append
+    ctx.tenure.end = lambda reason, by: ended.append(by)
     await HostPoller(ctx=ctx, id="a").poll_once()
-    assert len(ended) == 1
+    assert ended == [EndSignal.FENCE]
 
 
 async def test_a_host_without_a_fence_number_is_not_called():
--- a/tests/cell/test_roster.py
+++ b/tests/cell/test_roster.py
@@ -18,6 +18,8 @@
 from rhubarbferry.platform.store import CALL_TIMEOUT_S
 from rhubarbferry.ports.store import Put, StoreUnclear, Txn
 
+from .fakes import keeper_of
+
 OPEN = RosterEntry(id="a", address="a:1", incarnation=1, service="pool")
 CLOSED = RosterEntry(id="b", address="b:1", incarnation=2, service="pool", outstanding=("j",))
 IDLE = RosterEntry(id="c", address="c:1", incarnation=3, service="pool", outstanding=())
@@ -30,7 +32,7 @@
 async def make_tenure(store, *, fence: int = 0) -> Tenure:
     lease = Lease(id=7, incarnation=1, until=time.monotonic() + 60, margin_s=0.0)
     return Tenure(
-        keeper=SimpleNamespace(valid_lease=lambda: lease, kept_lease=lambda: lease),
+        keeper=keeper_of(lease),
         lease_id=7,
         fence=fence or await take_ownership(store),
     )
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -14,7 +14,7 @@
 from rhubarbferry.cell.term_context import Tenure
 from rhubarbferry.ports.clock import SystemClock
 
-from .fakes import FakeEventLog, member
+from .fakes import FakeEventLog, keeper_of, member
 
 FENCE = 5
 LOAD_TIMEOUT_S = 0.05
@@ -47,9 +47,8 @@
 def make_term(peers: Peers, *, store_reachable: bool) -> Term:
     view = CellView(members={name: member(name) for name in ("own", "b", "c")})
     lease = SimpleNamespace(id=1)
-    keeper = SimpleNamespace(
-        valid_lease=lambda: lease,
-        kept_lease=lambda: lease,
+    keeper = keeper_of(
+        lease,
         store_reachable=lambda: store_reachable,
         store_lost=lambda: not store_reachable,
     )
