Log which owner may have started a run that is found

`task.found` did not tell whose order a run comes from, although its attempt does: an owner numbers the attempts of inherited jobs from its fence number on. The line now has the present owner's fence and what follows for the owner, and the run of the task that this owner knew at the time, so that two runs at once stand in one line.

--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -209,6 +209,11 @@
                         event,
                         incarnation=event.incarnation,
                         host_clock_s=round(event.clock_s, 3),
+                        fence=self.fence,
+                        started_by=_possible_owner(event),
+                        other_attempt=event.other_attempt,
+                        other_host=event.other_host,
+                        done=event.task.done,
                     )
                 case HostsGivenUp():
                     self._hosts_given_up(event)
@@ -244,3 +249,17 @@
             roster_known=event.roster_known,
             waited_s=round(event.waited_s, 3),
         )
+
+
+def _possible_owner(event: RunFound) -> str:
+    """Return which owner may have started a run that was found.
+
+    An owner numbers the attempts of the jobs that it inherits from its fence number on, and those
+    of the jobs accepted under it from 1 on.
+    """
+    job = event.task.step.job
+    if not job.inherited:
+        return "this owner, or another that takes the job for a new one"
+    if event.attempt >= job.first_attempt:
+        return "this owner or a later one"
+    return "an earlier owner"
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -81,6 +81,9 @@
 
     :param incarnation: incarnation of the host that reports it.
     :param clock_s: time on the host's clock at the report.
+    :param other_attempt: attempt of the run of the task that this owner knew, ``None`` if there was
+        none.
+    :param other_host: host of that run.
     """
 
     task: Task
@@ -88,6 +91,8 @@
     host: str
     incarnation: int
     clock_s: float
+    other_attempt: int | None = None
+    other_host: str | None = None
 
 
 @frozen(kw_only=True, slots=True)
@@ -300,15 +305,17 @@
         )
         host.add(run)
         task.attempt = max(task.attempt, running.attempt)
+        other = task.run
         found = RunFound(
             task=task,
             attempt=run.attempt,
             host=host.id,
             incarnation=report.incarnation,
             clock_s=report.clock_s,
+            other_attempt=other.attempt if other is not None else None,
+            other_host=other.host if other is not None else None,
         )
         events: list[RunEvent] = [found]
-        other = task.run
         if other is not None and other.phase is RunPhase.RESERVED:
             events.append(self._release_reservation(other, "a run of the task was found"))
             other = None
