--- a/rhubarbferry/cell/decision_log.py
+++ b/rhubarbferry/cell/decision_log.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import define
+from collections.abc import Callable
+
+from attrs import define, field
 from prometheus_client import Counter, Histogram
 
 from rhubarbferry.cell.logs import EventLog
@@ -18,6 +20,7 @@
     TaskId,
     Unanswered,
 )
+from rhubarbferry.dispatch.takeover import HostsGivenUp
 from rhubarbferry.dispatch.tracker import HostRestarted, RunEnded, RunFound, RunHung, RunRefused
 
 START_ORDERS = Counter(
@@ -38,19 +41,55 @@
     "rhubarbferry_approvals_failed_total", "Approval requests without an answer"
 )
 
+# Most ids of one kind in a line.
+MAX_LISTED_IDS = 10
+
 
 def task_label(task: TaskId) -> str:
     """Return a task's identifier within its job, for a log event."""
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+@define(kw_only=True, eq=False)
+class StartCall:
+    """Times of one call to start a task, for the log.
+
+    :param fence: fence number of the call.
+    :param now: returns the monotonic time in seconds.
+    :param acts_for_s: returns how long the owner may still act.
+    :ivar may_act_s: how long it might still act when a connection took the order, or at the call
+        before that.
+    """
+
+    order: StartOrder
+    fence: int
+    now: Callable[[], float]
+    acts_for_s: Callable[[], float]
+    called_at: float = field(init=False)
+    written_at: float | None = None
+    may_act_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.called_at = self.now()
+        self.may_act_s = self.acts_for_s()
+
+    def mark_written(self) -> None:
+        """Record that a connection has taken the order."""
+        self.written_at = self.now()
+        self.may_act_s = self.acts_for_s()
+
+
 @define(kw_only=True, eq=False)
 class DecisionLog:
-    """Logs the owner's decisions and updates the metrics of their outcomes."""
+    """Logs the owner's decisions and updates the metrics of their outcomes.
+
+    :param fence: fence number of the owner.
+    """
 
     log: EventLog
+    fence: int = 0
 
-    def start(self, order: StartOrder, result: OrderResult, *, took_s: float, fence: int) -> None:
+    def start(self, call: StartCall, result: OrderResult) -> None:
         """Log a start order and its answer."""
         match result:
             case Started():
@@ -59,15 +98,32 @@
                 outcome = f"refused: {reason.value}"
             case Unanswered(detail=detail):
                 outcome = f"unanswered: {detail}"[:200]
+        START_SECONDS.observe(call.now() - call.called_at)
+        self._emit_start(call, outcome)
+
+    def start_cut_off(self, call: StartCall) -> None:
+        """Log a start order whose answer is not awaited, since the term has ended."""
+        self._emit_start(call, "cut off: the term has ended")
+
+    def _emit_start(self, call: StartCall, outcome: str) -> None:
+        order = call.order
         START_ORDERS.labels(outcome.partition(":")[0]).inc()
-        START_SECONDS.observe(took_s)
+        written_at = call.written_at
         self._emit(
             "task.start",
             order,
-            fence=fence,
+            incarnation=order.incarnation,
+            fence=call.fence,
             checkpoint=order.checkpoint or None,
             retries=order.retries,
-            took_s=round(took_s, 4),
+            deadline_s=round(order.deadline_s, 3),
+            ticket_s=round(order.ticket_until - call.called_at, 3) if order.ticket else None,
+            called_after_s=round(call.called_at - order.decided_at, 4),
+            written_after_s=(
+                round(written_at - order.decided_at, 4) if written_at is not None else None
+            ),
+            acts_for_s=round(call.may_act_s, 3),
+            took_s=round(call.now() - call.called_at, 4),
             outcome=outcome,
         )
 
@@ -153,7 +209,14 @@
                         event,
                         incarnation=event.incarnation,
                         host_clock_s=round(event.clock_s, 3),
+                        fence=self.fence,
+                        started_by=_possible_owner(event),
+                        other_attempt=event.other_attempt,
+                        other_host=event.other_host,
+                        done=event.task.done,
                     )
+                case HostsGivenUp():
+                    self._hosts_given_up(event)
                 case RunHung():
                     percents = [value for value in event.gang_percents if value is not None]
                     self._emit_run(
@@ -174,3 +237,29 @@
                         incarnation=event.incarnation,
                         unclear=event.unclear,
                     )
+
+    def _hosts_given_up(self, event: HostsGivenUp) -> None:
+        self.log.emit(
+            "takeover.hosts_given_up",
+            fence=self.fence,
+            hosts=event.hosts[:MAX_LISTED_IDS],
+            host_count=len(event.hosts),
+            jobs=event.jobs[:MAX_LISTED_IDS],
+            job_count=len(event.jobs),
+            roster_known=event.roster_known,
+            waited_s=round(event.waited_s, 3),
+        )
+
+
+def _possible_owner(event: RunFound) -> str:
+    """Return which owner may have started a run that was found.
+
+    An owner numbers the attempts of the jobs that it inherits from its fence number on, and those
+    of the jobs accepted under it from 1 on.
+    """
+    job = event.task.step.job
+    if not job.inherited:
+        return "this owner, or another that takes the job for a new one"
+    if event.attempt >= job.first_attempt:
+        return "this owner or a later one"
+    return "an earlier owner"
