Leave jobs that are newer than their listing to the watch

Cause: a listing is read page by page, and its revision is that of the first page. The first page holds the owner's key. When the key was replaced after that page, a later page could hold a job that was accepted under the successor, and the former owner added and started it beside the successor, which starts new jobs at once. The changes of a watch are applied in one turn of the event loop, so their order within an answer was not at fault.

Ruled out: filtering in the store adapter. The list of hosts, the states at a takeover and the ended jobs want the newest item of each key, and a filter would drop each host that renews its entry between two pages. Filtering in the watcher of a prefix would drop a cancellation that a client repeats while a new owner reads, and that owner would start tasks of the cancelled job until its watch answers.

Change: the job watcher leaves items that are newer than the listing's revision to the watch, which delivers them after the change of the owner's key. A cancellation of a known job is applied at once. One of an unknown job is left too, since it would be taken for that of an ended job and its request removed. At a takeover nothing inherited is left out: the listing begins after the owner's key was written, so its revision is not below the fence number, and inherited jobs are below it. Their states are not filtered.

Tests: the stand-in serves pages of a given size and can be written to between two pages.

--- a/rhubarbferry/cell/job_watch.py
+++ b/rhubarbferry/cell/job_watch.py
@@ -153,11 +153,25 @@
         # Process jobs first: the cancellation of an unknown job is taken for that of an ended one.
         items = sorted(listing.items, key=lambda item: item.key.startswith(keys.CANCELS))
         for number, item in enumerate(items, start=1):
-            self._apply_put(item, states)
+            if not self._is_left_to_watch(item, listing):
+                self._apply_put(item, states)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         self.ctx.wake.set()
 
+    def _is_left_to_watch(self, item: KeyValue, listing: Listing) -> bool:
+        """Return whether only the watch may deliver an item of a listing.
+
+        The pages of a listing are read one after the other. A later page may contain a job of a
+        later owner although the owner's key was read before it was replaced. The watch delivers
+        such a job after the change of that key. A cancellation of a known job is applied at once,
+        since an earlier version of it may have been replaced while the pages were read.
+        """
+        if item.mod_revision <= listing.revision:
+            return False
+        id = item.key.removeprefix(keys.CANCELS)
+        return not (item.key.startswith(keys.CANCELS) and id in self.ctx.dispatcher.jobs)
+
     def _end_tenure(self, reason: str) -> None:
         self.ctx.tenure.end(reason)
         raise OwnershipLost(reason)
--- a/rhubarbferry/cell/prefix_watch.py
+++ b/rhubarbferry/cell/prefix_watch.py
@@ -18,6 +18,9 @@
 class PrefixWatcher:
     """Return listings and changes of one prefix in the order of their revisions.
 
+    A listing may contain items that are newer than its revision, if they were written while its
+    pages were read. The changes after it contain them as well.
+
     A watch can fail to deliver changes, and its empty answer then carries a revision after them.
     Continuing from that revision would lose the changes permanently, and a job would never start.
     Therefore an empty answer does not advance the revision. If the store has dropped the history
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -51,12 +52,18 @@
 
 @define(kw_only=True, eq=False)
 class PlatformStoreStandIn:
-    """Store stand-in with keys, leases and long-poll watches."""
+    """Store stand-in with keys, leases and long-poll watches.
+
+    :param page_items: maximum number of items on one page of a listing.
+    :param between_pages: called before each further page of a listing is read.
+    """
 
     engine: StoreEngine = field(factory=StoreEngine)
     faults: PlatformStoreFaults = field(factory=PlatformStoreFaults)
     clock: SystemClock = field(factory=SystemClock)
     calls: dict[str, int] = field(factory=dict)
+    page_items: int = MAX_PAGE_ITEMS
+    between_pages: Callable[[], None] = lambda: None
     _writes: int = 0
 
     def app(self) -> Starlette:
@@ -112,8 +119,10 @@
             return rejection
         prefix = request.query_params["prefix"]
         start = request.query_params.get("after", "")
+        if start:
+            self.between_pages()
         found = self.engine.read(max(prefix, start + "\0" if start else ""), prefix_end(prefix))
-        page = found[:MAX_PAGE_ITEMS]
+        page = found[: self.page_items]
         return JSONResponse(
             {
                 "items": [_item(stored.kv) for stored in page],
--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -22,6 +22,7 @@
 from rhubarbferry.dispatch.takeover import Takeover
 from rhubarbferry.ports.clock import SystemClock
 from rhubarbferry.ports.store import Put, Txn
+from rhubarbferry.test import store_engine
 
 from .fakes import FakeEventLog, member, record
 
@@ -176,3 +177,67 @@
         await watcher._watch_once()
     assert watcher.ctx.dispatcher.jobs == {}
     assert not watcher.ctx.tenure.holds()
+
+
+def write_between_pages(stand_in, *items: tuple[str, bytes]) -> None:
+    """Let another process write keys, in this order, after the first page of the next listing."""
+
+    def write() -> None:
+        stand_in.between_pages = lambda: None
+        for key, value in items:
+            stand_in.engine.txn([], [store_engine.Put(key=key, value=value)])
+
+    stand_in.page_items = 1
+    stand_in.between_pages = write
+
+
+def job_item(id: str) -> tuple[str, bytes]:
+    return keys.JOBS + id, encode_request(record(id))
+
+
+async def test_former_owner_adds_no_job_of_its_successor_from_a_later_page(store, stand_in):
+    """Guards against a job that two owners start because a listing was read page by page."""
+    watcher = await job_watcher(store)
+    await accept(store, "a")
+    await watcher.load()
+    successor_key = keys.OWNER, encode_member(member("later"))
+    write_between_pages(stand_in, successor_key, job_item("b"))
+    watcher._watcher.restart()
+    with pytest.raises(OwnershipLost):
+        for _ in range(2):
+            await watcher._watch_once()
+    assert list(watcher.ctx.dispatcher.jobs) == ["a"]
+
+
+async def test_job_that_is_newer_than_its_listing_is_added_from_the_watch(store, stand_in):
+    """Guards against a job that never starts as neither the listing nor the watch adds it."""
+    await accept(store, "a")
+    watcher = await job_watcher(store)
+    write_between_pages(stand_in, job_item("b"))
+    await watcher.load()
+    assert [job.inherited for job in watcher.ctx.dispatcher.jobs.values()] == [True]
+    await watcher._watch_once()
+    jobs = watcher.ctx.dispatcher.jobs
+    assert {id: job.inherited for id, job in jobs.items()} == {"a": True, "b": False}
+
+
+async def test_cancellation_repeated_during_a_listing_is_applied_with_it(store, stand_in):
+    """Guards against a new owner that starts a task of a cancelled job."""
+    await accept(store, "a", JobPhase.RUNNING)
+    await store.commit(Txn(put=(Put(key=keys.CANCELS + "a", value=b""),)))
+    watcher = await job_watcher(store)
+    write_between_pages(stand_in, (keys.CANCELS + "a", b""))
+    await watcher.load()
+    assert watcher.ctx.dispatcher.jobs["a"].phase is JobPhase.CANCELLED
+
+
+async def test_cancellation_of_a_job_newer_than_its_listing_waits_for_the_job(store, stand_in):
+    """Guards against removing the request of a job in progress as that of an ended one."""
+    await accept(store, "a")
+    watcher = await job_watcher(store)
+    write_between_pages(stand_in, job_item("b"), (keys.CANCELS + "b", b""))
+    await watcher.load()
+    assert watcher.ctx.removable == []
+    await watcher._watch_once()
+    assert watcher.ctx.dispatcher.jobs["b"].phase is JobPhase.CANCELLED
+    assert watcher.ctx.removable == []
