End no run by a report that was requested before its start was answered

A report ends a run that it does not list if its clock is later than that of the answer to the start. That holds only if the list is of the same moment as the clock, and of the same incarnation. A host that reads its clock after its list, or a last report of an earlier incarnation that arrives after the new one has answered a start, ended a run that was at work, and its task was started again.

Ruled out: comparing clocks with a margin; the clocks of two incarnations have nothing in common.

Change: a report counts only if it was requested after the answer to the start had arrived. A run that is gone before its first report is noticed one poll later, 0.7 s at most.

--- a/rhubarbferry/dispatch/job.py
+++ b/rhubarbferry/dispatch/job.py
@@ -85,6 +85,7 @@
     :param order: last start order that was sent; ``None`` for an adopted run.
     :param unanswered_at: when a copy of the start order was last found to be unanswered; ``-inf``
         if all copies were answered.
+    :param started_at: when the answer to its start order arrived, ``-inf`` if none has.
     :param listed: whether a report of the host's current incarnation has listed it.
     """
 
@@ -103,6 +104,7 @@
     pace_sent_at: float = -math.inf
     order: StartOrder | None = None
     unanswered_at: float = -math.inf
+    started_at: float = -math.inf
     listed: bool = False
 
     @property
--- a/rhubarbferry/dispatch/tracker.py
+++ b/rhubarbferry/dispatch/tracker.py
@@ -244,7 +244,7 @@
         if sent_at >= host.restarted_at:
             # A call sent earlier may have been answered before the host started a task that this
             # owner already counts as running there.
-            events += self._end_unlisted(host, report, listed, now)
+            events += self._end_unlisted(host, report, listed, sent_at, now)
         return events
 
     def _handle_end(self, host: Host, ended: EndedTask, now: float) -> list[RunEvent]:
@@ -355,7 +355,12 @@
         )
 
     def _end_unlisted(
-        self, host: Host, report: HostReport, listed: set[tuple[TaskId, int]], now: float
+        self,
+        host: Host,
+        report: HostReport,
+        listed: set[tuple[TaskId, int]],
+        sent_at: float,
+        now: float,
     ) -> list[RunEvent]:
         """End the runs that the host does not list and can no longer start."""
         if not report.lists_all_ends:
@@ -364,6 +369,9 @@
         for key, run in list(host.runs.items()):
             if key in listed or run.phase is RunPhase.RESERVED:
                 continue
+            if sent_at < run.started_at:
+                # The report may be from before the start, and even of an earlier incarnation.
+                continue
             # `deadline_s` is a time on the host's clock: for an order, when the host starts to
             # refuse it; for a run, when it was last known to run. A report made after that time
             # which does not list the run proves that it has ended or will never start, unless the
@@ -393,7 +401,7 @@
                     return []
                 run.phase = RunPhase.RUNNING
                 run.deadline_s = clock_s
-                run.progress_at = now
+                run.progress_at = run.started_at = now
                 return [RunStarted(task=run.task)]
             case Refused(reason=Refusal.NOT_SENT) if self._retry(host, run, now):
                 return []
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from rhubarbferry.dispatch.messages import EndKind
+from rhubarbferry.dispatch.messages import EndKind, Started
 
 from .host_model import LEASE_S, HostModel, InvariantViolated
 from .test_dispatcher_machine import HOSTS, QUEUES, TICK_S, DispatcherMachine, Fate
+from .world import World, job, step
 
 URGENT = QUEUES[0]
 
@@ -219,3 +220,19 @@
     other.end((task, attempt + 1), EndKind.DONE)
     with pytest.raises(InvariantViolated) if raises else nullcontext():
         other.poll(other.fence, None, other.end_count)
+
+
+@pytest.mark.parametrize(
+    ("sent_before_s", "ended"), [(0.1, False), (0.0, True)], ids=["before", "after"]
+)
+def test_a_report_requested_before_a_start_was_answered_does_not_end_its_run(sent_before_s, ended):
+    """Guards against a report whose list is older than its clock, or of an earlier incarnation."""
+    world = World("a", "b")
+    world.add(job("j", step()))
+    (order,) = world.starts()
+    world.answer(order, Started(clock_s=world.now + 100.0))
+    report = world.hosts[order.host].report(world.now + 0.1)
+    world.dispatcher.handle_report(
+        order.host, report, sent_at=world.now - sent_before_s, now=world.now + 0.1
+    )
+    assert [found.task for found in world.starts(0.2)] == ([order.task] if ended else [])
