--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -211,6 +211,7 @@
         await self.peer_server.start(addresses.peers)
         health = build_app(not_ready_reason=self._not_ready_reason)
         background_tasks = [
+            asyncio.create_task(self.log.run()),
             asyncio.create_task(self.loop_lag.run()),
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self.keeper.run()),
