Test a host that restarts unnoticed as another kind

The owner has not noticed that a host restarted as another kind. It requests a ticket for the host by the label of the earlier incarnation. The policy service decides on the host's id and issues the ticket for the life that the host has, so the new incarnation starts the task.

--- a/tests/dispatch/test_unnoticed_restarts.py
+++ b/tests/dispatch/test_unnoticed_restarts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from .test_dispatcher_machine import HOSTS, QUEUES, Fate
-from .test_incarnation_machine import ADDRESSES
+from .test_incarnation_machine import ADDRESSES, KINDS
 from .test_two_owners_machine import TwoOwnersMachine
 
 URGENT = QUEUES[0]
@@ -134,3 +134,15 @@
     found.partitioned = {"h0"}
     found.advance(ticks=2)
     found.teardown()
+
+
+def test_task_that_needs_a_kind_does_not_start_on_a_host_that_restarted_as_another():
+    """Guards against a start by the label of an earlier incarnation, with a ticket of the next."""
+    found = machine()
+    set_latencies(found, decision_ticks=1)
+    host = found.oracle.hosts["h0"]
+    found.restart_unnoticed(host=0, reports_lost=True)
+    found.change_kind(host=0, kind=KINDS[1 - KINDS.index(host.kind)])
+    found.submit_for_kind(width=1, kind=host.listed_entry.labels[0], queue=URGENT)
+    found.advance(ticks=3)
+    found.teardown()
