Start no task between a failed poll of a host and its next report

A host that starts again under its id takes an order that its owner means for the earlier incarnation, if the ticket was issued after the restart. Between the restart and its notice the owner went on to start tasks there. A poll is nearly always open, and it fails at once when the process of a host dies; the next one, 0.1 s later, shows the restart. So reserved runs now wait for the next report, and the poll after a failed one is answered at once instead of after the end of a run or 0.7 s.

This narrows the time in which the faults of this class can begin; it does not close it. A host that loses power fails a poll only after 1.1 s. Ruled out for now: a report for each ticket, requested after the ticket was issued, which would bind the ticket to one incarnation. It costs a call and a round trip for each start and has not been measured.

The new test failed before.

--- a/rhubarbferry/cell/host_poller.py
+++ b/rhubarbferry/cell/host_poller.py
@@ -87,6 +87,8 @@
         host.poll_wait_s = self.poll_wait_s()
         acknowledged_to = host.acknowledgeable_end
         no_wait = no_wait or deadline_s is None or host.seen_end > acknowledged_to
+        # No task is started there before the next report.
+        no_wait = no_wait or host.poll_failed
         req = TaskLeaseRequest(
             fence=fence,
             deadline_s=deadline_s,
--- a/rhubarbferry/dispatch/dispatcher.py
+++ b/rhubarbferry/dispatch/dispatcher.py
@@ -219,6 +219,7 @@
                 self.takeover.record_restart(id, report.jobs)
             elif host.adopted:
                 self.takeover.record_adoption(id)
+        self._reconsider_delayed_starts(host, now)
         self.pacing.record_report(host, now)
         self._stop_hung(host, now)
         for run in runs_to_stop(host, now):
@@ -388,7 +389,7 @@
         elif self._may_preempt(step, allowed, open_hosts):
             self._preempt(step, allowed, limit, now)
         orders: list[Order] = []
-        if placed or approval_cost is not None:
+        if placed or approval_cost is not None or reservations.reserved(step):
             orders += self._reserve(step, placed, now)
         if approval_cost is not None:
             held = self.holds.hosts(step)
@@ -457,6 +458,9 @@
 
     def _start_reserved(self, step: Step, now: float) -> list[Order]:
         """Start the reserved runs of a step that have a valid ticket or need none."""
+        for run in reservations.reserved(step):
+            host = self.tracker.hosts[run.host]
+            host.delays_starts = host.delays_starts or host.poll_failed
         ready = reservations.startable(step, self.tracker.hosts, now)
         if step.req.gang and len(ready) < len(step.tasks):
             return []
@@ -468,6 +472,15 @@
                 orders.append(reservations.order_start(run, host, ticket, checkpoint, now))
         return orders
 
+    def _reconsider_delayed_starts(self, host: Host, now: float) -> None:
+        """Reconsider the steps that a host's failed poll has kept from starting."""
+        if not host.delays_starts or host.poll_failed:
+            return
+        host.delays_starts = False
+        for run in host.runs.values():
+            if run.phase is RunPhase.RESERVED:
+                self._reconsider(run.task.step, now)
+
     def _reconsider(self, step: Step, now: float) -> None:
         """Reconsider a step in the next decision, even if it only waits for tickets."""
         self._candidates.include(step)
--- a/rhubarbferry/dispatch/hosts.py
+++ b/rhubarbferry/dispatch/hosts.py
@@ -74,6 +74,7 @@
         store, by the number of the end. The next owner learns of these ends from the host only.
     :param restarted_at: when its last restart under the same id was noticed.
     :param poll_failed_at: when a poll last failed; ``-inf`` once a later one has been answered.
+    :param delays_starts: whether reserved runs wait for its next report, since a poll has failed.
     :param last_report_at: when its last report arrived.
     :param blocked_until: it receives no new tasks before this time.
     :param leaves_at: earliest time at which it may leave, while it is draining. It is the minimum
@@ -98,6 +99,7 @@
     unrecorded_ends: dict[int, str] = Factory(dict)
     restarted_at: float = float("-inf")
     poll_failed_at: float = float("-inf")
+    delays_starts: bool = False
     last_report_at: float = 0.0
     blocked_until: float = 0.0
     leaves_at: float | None = None
@@ -133,7 +135,12 @@
         A host that has restarted under its id numbers its ends from 1 again, and would forget new
         ones that no process has read.
         """
-        return 0 if self.poll_failed_at > float("-inf") else self.recorded_end
+        return 0 if self.poll_failed else self.recorded_end
+
+    @property
+    def poll_failed(self) -> bool:
+        """Whether its last poll failed, so that it may have restarted since its last report."""
+        return self.poll_failed_at > float("-inf")
 
     @property
     def silence_timeout_s(self) -> float:
--- a/rhubarbferry/dispatch/reservations.py
+++ b/rhubarbferry/dispatch/reservations.py
@@ -36,8 +36,14 @@
 
 
 def startable(step: Step, hosts: Mapping[str, Host], now: float) -> list[tuple[Run, str]]:
-    """Return the reserved runs of a step that can be started, each with its ticket."""
-    with_tickets = [(run, ticket(run, hosts, now)) for run in reserved(step)]
+    """Return the reserved runs of a step that can be started, each with its ticket.
+
+    A host whose poll has failed may have restarted. A ticket is issued for the incarnation that the
+    host has at that moment, so the new one could take an order that is meant for the earlier one.
+    """
+    with_tickets = [
+        (run, ticket(run, hosts, now)) for run in reserved(step) if not hosts[run.host].poll_failed
+    ]
     return [(run, found) for run, found in with_tickets if found is not None]
 
 
--- a/tests/dispatch/test_host_crashes.py
+++ b/tests/dispatch/test_host_crashes.py
@@ -236,3 +236,16 @@
         order.host, report, sent_at=world.now - sent_before_s, now=world.now + 0.1
     )
     assert [found.task for found in world.starts(0.2)] == ([order.task] if ended else [])
+
+
+def test_a_host_whose_poll_has_failed_gets_no_start_before_its_next_report():
+    """Guards against a start that a restarted host carries out although it is meant for before."""
+    world = World("a")
+    host = world.dispatcher.tracker.hosts["a"]
+    host.poll_failed_at = world.now
+    world.add(job("j", step()))
+    for _ in range(3):
+        assert world.starts(0.1) == []
+    host.poll_failed_at = float("-inf")
+    world.deliver_reports()
+    assert [order.host for order in world.starts()] == ["a"]
