End the lease of an owner that hands over its ownership

Cause: in a hand-over the successor replaces the owner's key and left the former owner's lease. If the answer is lost and the former owner's watch is silent, it goes on renewing the lease and acting. Its successor gave hosts that it can't reach up one lease of 1.5 s plus the longest task lease after its own takeover, while the former owner could still extend task leases there.

Ruled out: ending the lease before the key is written, as for an owner that does not answer. Nobody would schedule between the two calls, and any process could win the vacancy, in a rolling restart one that is stopped next. Also ruled out: an owner that acts no longer than one lease after a request without a clear answer. It costs no call, but an owner that takes long to load would lose the ownership to each process that it can't reach, and would read all jobs again.

Change: the successor ends the former owner's lease at the start of its term, beside the reading of the jobs, and repeats the call until the store has answered. Until then hosts that have not answered are not given up by time; the time is counted from the answer. The lease is that of the owner's key, from the view or, if that lacks the key, from the store. It is also ended if the successor's own write got no answer and the watch shows its key later. An owner that lives on gets a new lease and registers again, as the last one. Unchanged: an owner that does not answer loses its lease first, and a key of an earlier incarnation at the same address is replaced without more, since that process has exited.

Cost of a hand-over: one call that ends a lease; a new lease for the former owner, and its registration if it lives on.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -60,6 +60,8 @@
     _vacant_since: float | None = None
     _election_seed: int = 0
     _overloaded_until: float = float("-inf")
+    # Leases of owners that have asked this process to take over, to be ended by its next term.
+    _former_leases: set[int] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self._watcher = self.process.watch_prefix(keys.CONTROL)
@@ -109,11 +111,32 @@
     async def take_over(self, fence: int) -> bool:
         """Replace the owner's key at the owner's request.
 
+        The owner schedules until this process has written its own key, and may go on if it gets no
+        answer. Its lease is therefore ended as soon as the key is written.
+
         :returns: whether this process is now the owner.
         """
         self.process.log.emit("owner.asked_to_take_over", fence=fence)
+        try:
+            lease_id = await self._find_lease(fence)
+        except StoreError as exc:
+            self.process.log.emit("owner.not_replaced", reason=str(exc)[:200])
+            return False
+        if lease_id is None:
+            self.process.log.emit("owner.not_replaced", reason="another process is the owner")
+            return False
+        self._former_leases.add(lease_id)
         return await self._acquire(replaces=fence)
 
+    async def _find_lease(self, fence: int) -> int | None:
+        """Return the lease of the owner's key, ``None`` if the key has another revision."""
+        ownership = self.process.view.ownership
+        if ownership is not None and ownership.fence == fence:
+            return ownership.lease_id
+        # The watch may not have delivered the key yet.
+        item = await self.process.store.get(keys.OWNER)
+        return item.lease_id if item is not None and item.mod_revision == fence else None
+
     async def replace_unresponsive(self, ownership: Ownership) -> bool:
         """Replace an owner that does not respond.
 
@@ -282,7 +305,10 @@
 
     async def _run_term(self, ownership: Ownership, lease: Lease) -> None:
         tenure = Tenure(keeper=self.process.keeper, lease_id=lease.id, fence=ownership.fence)
-        term = Term(process=self.process, tenure=tenure)
+        term = Term(
+            process=self.process, tenure=tenure, former_leases=frozenset(self._former_leases)
+        )
+        self._former_leases.clear()
         self.process.log.emit("term.begun", fence=tenure.fence, lease=lease.id)
         self.term = term
         self._term_task = asyncio.create_task(term.run())
--- a/rhubarbferry/cell/term.py
+++ b/rhubarbferry/cell/term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from typing import Any
 
@@ -50,6 +51,7 @@
 # All waiting steps are re-evaluated at this interval, in case the event for a change was missed.
 STEP_RECHECK_INTERVAL_S = 1.0
 LOAD_RETRY_INTERVAL_S = 0.2
+END_LEASE_RETRY_INTERVAL_S = 0.2
 # An owner that reaches the store and has still not loaded the jobs after this time hands them over
 # to a process on a larger host.
 LOAD_TIMEOUT_S = 3.0
@@ -70,12 +72,15 @@
 class Term:
     """Schedules the jobs of the cell until the ownership is lost or given up.
 
+    :param former_leases: leases that owners may still hold that have asked this process to take
+        over.
     :ivar load: sums up the load of the cell.
     :ivar overloaded: whether the jobs were handed over because loading them took too long.
     """
 
     process: ProcessContext
     tenure: Tenure
+    former_leases: frozenset[int] = frozenset()
     ctx: TermContext = field(init=False)
     _roster: Roster = field(init=False)
     _job_watcher: JobWatcher = field(init=False)
@@ -93,17 +98,13 @@
 
     def __attrs_post_init__(self) -> None:
         self._took_over_at = self.process.clock.monotonic()
-        lease_s = self.process.cfg.bounds.task_lease_s
         takeover = Takeover(
-            leases_expire_at=self._took_over_at
-            + LEASE_TTL_S
-            + lease_s * (1 + MAX_CLOCK_DRIFT)
-            + LEASE_EXPIRY_MARGIN_S
+            leases_expire_at=math.inf if self.former_leases else self._task_leases_expire_at()
         )
         self.ctx = TermContext(
             process=self.process,
             tenure=self.tenure,
-            dispatcher=Dispatcher(takeover=takeover, lease_s=lease_s),
+            dispatcher=Dispatcher(takeover=takeover, lease_s=self.process.cfg.bounds.task_lease_s),
         )
         self._roster = Roster(store=self.process.store, tenure=self.tenure)
         self._job_watcher = JobWatcher(ctx=self.ctx)
@@ -156,8 +157,10 @@
     async def run(self) -> None:
         """Run the term; return when the ownership has ended."""
         try:
-            await self._load_or_hand_over()
             async with asyncio.TaskGroup() as self._tasks:
+                if self.former_leases:
+                    self._spawn(self._end_former_leases())
+                await self._load_or_hand_over()
                 self._spawn(self._job_watcher.run())
                 self._spawn(self._recorder.run())
                 cleaner = Cleaner(ctx=self.ctx, without_state=self._job_watcher.without_state)
@@ -182,6 +185,41 @@
     def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
         self._tasks.create_task(call)
 
+    def _task_leases_expire_at(self) -> float:
+        """Return when all task leases must have expired, if no earlier owner gets a new lease."""
+        return (
+            self.process.clock.monotonic()
+            + LEASE_TTL_S
+            + self.process.cfg.bounds.task_lease_s * (1 + MAX_CLOCK_DRIFT)
+            + LEASE_EXPIRY_MARGIN_S
+        )
+
+    async def _end_former_leases(self) -> None:
+        """End the leases of former owners, then count the time for which they may still act.
+
+        A former owner that got no answer to its request acts until it notices the new key. Without
+        the lease it can't act for longer than an owner that is disconnected from the store.
+        """
+        for lease_id in sorted(self.former_leases):
+            await self._end_lease(lease_id)
+        self.ctx.dispatcher.takeover.leases_expire_at = self._task_leases_expire_at()
+
+    async def _end_lease(self, lease_id: int) -> None:
+        """End a lease; return when the store has confirmed that it has ended."""
+        while True:
+            try:
+                existed = await self.process.store.revoke_lease(lease_id)
+                break
+            except StoreError as exc:
+                self.process.log.emit("lease.not_ended", lease=lease_id, reason=str(exc)[:200])
+                await asyncio.sleep(END_LEASE_RETRY_INTERVAL_S)
+        self.process.log.emit(
+            "owner.lease_ended",
+            fence=self.tenure.fence,
+            lease=lease_id,
+            outcome="ended" if existed else "had ended",
+        )
+
     async def _load_or_hand_over(self) -> None:
         """Load the stored state, or hand over to another process if that takes too long.
 
--- a/rhubarbferry/dispatch/takeover.py
+++ b/rhubarbferry/dispatch/takeover.py
@@ -43,9 +43,9 @@
     :param unconfirmed: roster entries of the hosts that have not answered yet, by id.
     :param roster_known: whether ``unconfirmed`` lists all hosts that may run tasks. If not, all
         inherited jobs wait until the earlier leases must have expired.
-    :param leases_expire_at: when every earlier task lease must have expired: the time of the
-        takeover plus the earlier owner's own lease, the longest task lease and the maximum
-        clock drift.
+    :param leases_expire_at: when every earlier task lease must have expired: the time from which
+        the earlier owner can't extend its own lease, plus that lease, the longest task lease and
+        the maximum clock drift. Infinite until that time is known.
     """
 
     unconfirmed: dict[str, RosterEntry] = Factory(dict)
--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -38,6 +38,7 @@
     :param deaf: omit all events from the answers to watches, which still state the current
         revision.
     :param no_bare_conditions: reject transactions without writes or removals with 400.
+    :param keep_leases: reject calls that end a lease with 503.
     """
 
     down: bool = False
@@ -48,6 +49,7 @@
     no_history: bool = False
     deaf: bool = False
     no_bare_conditions: bool = False
+    keep_leases: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -219,6 +221,8 @@
         rejection = await self._admit("end")
         if rejection is not None:
             return rejection
+        if self.faults.keep_leases:
+            return Response(status_code=503)
         known = self.engine.revoke(request.path_params["lease"])
         return Response(status_code=200 if known else 404)
 
