--- a/tests/cell/test_owner_log.py
+++ b/tests/cell/test_owner_log.py
@@ -59,7 +59,7 @@
 
     overloaded = False
 
-    def __init__(self, *, process, tenure: Tenure) -> None:
+    def __init__(self, *, process, tenure: Tenure, former_leases: frozenset[int]) -> None:
         self.tenure = tenure
 
     async def run(self) -> None:
