--- a/tests/cell/test_owner_log.py
+++ b/tests/cell/test_owner_log.py
@@ -12,6 +12,7 @@
 from rhubarbferry.cell import keys
 from rhubarbferry.cell.acquisition import Opportunity
 from rhubarbferry.cell.candidate import Candidate
+from rhubarbferry.cell.cleaner import Cleaner
 from rhubarbferry.cell.decision_log import MAX_LISTED_IDS, DecisionLog
 from rhubarbferry.cell.host_poller import HostPoller
 from rhubarbferry.cell.job_watch import JobWatcher
@@ -296,6 +297,11 @@
     await Recorder(ctx=ctx).flush()
 
 
+async def clean_conflict(ctx: TermContext) -> None:
+    ctx.removable.append("j")
+    await Cleaner(ctx=ctx, without_state=set())._remove_requests()
+
+
 async def stale_fence(ctx: TermContext) -> None:
     host = HostEntry(id="a", incarnation=1, service="pool", address="a:1", capacity=Sizes())
     ctx.dispatcher.host_listed(host, now=0.0)
@@ -311,6 +317,7 @@
     "a listing older than the ownership": (stale_listing, EndSignal.LISTING),
     "the roster can't be written": (roster_conflict, EndSignal.CONFLICT),
     "a state can't be written": (record_conflict, EndSignal.CONFLICT),
+    "a request can't be removed": (clean_conflict, EndSignal.CONFLICT),
     "a host has seen a higher fence": (stale_fence, EndSignal.FENCE),
 }
 
@@ -490,3 +497,14 @@
             "waited_s": 9.0,
         }
     ]
+
+
+def test_a_takeover_that_waits_for_no_host_gives_none_up():
+    """Guards against a line that accuses a takeover of which every host has answered."""
+    world = World("a")
+    world.now += 10.0
+    world.add(job("j", step(), inherited=True, first_attempt=5))
+    world.decide()
+    log = FakeEventLog()
+    DecisionLog(log=log, fence=5).outcomes(world.dispatcher)
+    assert lines(log, "takeover.hosts_given_up") == []
--- a/tests/cell/test_term.py
+++ b/tests/cell/test_term.py
@@ -11,7 +11,7 @@
 from rhubarbferry.cell.members import CellView
 from rhubarbferry.cell.settings import CellSettings
 from rhubarbferry.cell.term import Term
-from rhubarbferry.cell.term_context import Tenure
+from rhubarbferry.cell.term_context import EndSignal, Tenure
 from rhubarbferry.ports.clock import SystemClock
 
 from .fakes import FakeEventLog, keeper_of, member
@@ -95,6 +95,14 @@
     await asyncio.gather(running, return_exceptions=True)
 
 
+async def test_a_term_whose_lease_has_ended_ends_by_it():
+    """Guards against an end of the ownership that seems to be a decision of its owner."""
+    term = make_term(Peers(willing=set()), store_reachable=True)
+    term.process.keeper.kept_lease = lambda: None
+    await asyncio.wait_for(term.run(), TIMEOUT_S)
+    assert term.tenure.noticed_by is EndSignal.LEASE
+
+
 @pytest.mark.parametrize(
     ("link_mbps", "asked"),
     [
