--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -27,6 +27,11 @@
         return [fields.get("outcome") for name, fields in self.events if name == event]
 
 
+def lines(log: FakeEventLog, event: str) -> list[dict]:
+    """Return the fields of the lines of an event."""
+    return [fields for name, fields in log.events if name == event]
+
+
 def member(name: str, *, address: str = "", **fields: float) -> Member:
     return Member(
         name=name,
