Let the stand-ins of hosts check the tickets of the policy service

A ticket holds for the tasks of one step, for the life that the host has when it is issued, and for its validity. The stand-ins issued texts that no host checked, so no test of processes could show an order that the platform refuses, or one that it carries out in the next life of a host.

Hosts check tickets as an option; the policy service asks a function for the present life of a host. Without the two options all is as before. The store's stand-in can list in small pages, for the same tests.

--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -36,6 +36,7 @@
     :param no_history: answer watches with 410, as if their history were compacted.
     :param deaf: omit all events from the answers to watches, which still state the current
         revision.
+    :param page_items: maximum number of items in a page of a listing.
     :param no_bare_conditions: reject transactions without writes or removals with 400.
     """
 
@@ -46,6 +47,7 @@
     answer_s: float = 0.002
     no_history: bool = False
     deaf: bool = False
+    page_items: int = MAX_PAGE_ITEMS
     no_bare_conditions: bool = False
 
 
@@ -113,7 +115,7 @@
         prefix = request.query_params["prefix"]
         start = request.query_params.get("after", "")
         found = self.engine.read(max(prefix, start + "\0" if start else ""), prefix_end(prefix))
-        page = found[:MAX_PAGE_ITEMS]
+        page = found[: self.faults.page_items]
         return JSONResponse(
             {
                 "items": [_item(stored.kv) for stored in page],
--- a/rhubarbferry/test/platform_worker.py
+++ b/rhubarbferry/test/platform_worker.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -40,11 +41,30 @@
     pace: int = 100
 
 
+@frozen(kw_only=True)
+class Ticket:
+    """Approval of a step's tasks in one life of a host.
+
+    :param born: start of that life.
+    :param valid_until_ms: monotonic time in milliseconds, which all processes of a machine share.
+    """
+
+    step: str
+    host: str
+    born: int
+    valid_until_ms: int
+
+    def encode(self) -> str:
+        """Return the ticket as the text that a start order carries."""
+        return f"{self.step}/{self.host}/{self.born}/{self.valid_until_ms}"
+
+
 @define(kw_only=True, eq=False)
 class PlatformWorkerStandIn:
     """Stand-in for one host.
 
     :param work_s: duration of each run in seconds.
+    :param checks_tickets: refuse starts without a ticket that holds for the task and this life.
     :param failing_tasks: tasks whose runs end as failed.
     :param serving_tasks: tasks whose reported tail latency grows with the load by other tasks.
     :ivar history: every run that was started on this host.
@@ -59,6 +79,7 @@
     failing_tasks: set[str] = field(factory=set)
     serving_tasks: set[str] = field(factory=set)
     silent: bool = False
+    checks_tickets: bool = False
     history: list[TaskRun] = field(factory=list)
     fence: int = 0
     _born: int = field(factory=lambda: int(time.time() * 1000))
@@ -163,16 +184,31 @@
         task, attempt = body["task"], body["attempt"]
         if body["deadlineMs"] < self._clock_ms():
             return self._reject("late")
+        if self.checks_tickets and not self._accepts_ticket(task, body.get("ticket", "")):
+            return self._reject("ticket")
         running = self._running.get(task)
         if attempt <= self._ended_attempts.get(task, 0) or (running and attempt < running.attempt):
             return self._reject("old")
         self._extend_lease(body)
         if running is None:
-            run = TaskRun(task=task, attempt=attempt, ends_at=time.monotonic() + self.work_s)
+            work_s = self._work_s(body)
+            run = TaskRun(task=task, attempt=attempt, ends_at=time.monotonic() + work_s)
             self._running[task] = run
             self.history.append(run)
         return JSONResponse({"clockMs": self._clock_ms()})
 
+    def _work_s(self, body: dict[str, Any]) -> float:
+        """Return the duration of the run that an order starts, in seconds."""
+        return self.work_s
+
+    def _accepts_ticket(self, task: str, text: str) -> bool:
+        step, host, born, valid_until_ms = (text.split("/") + [""] * 4)[:4]
+        return (
+            (step, host, born) == (task.rpartition(".")[0], self.id, str(self._born))
+            and valid_until_ms.isdecimal()
+            and int(valid_until_ms) >= int(time.monotonic() * 1000)
+        )
+
     async def _stop(self, request: Request) -> Response:
         body, rejection = await self._admit(request)
         if rejection is not None:
@@ -222,10 +258,16 @@
 
 @define(kw_only=True, eq=False)
 class PlatformPolicyStandIn:
-    """Stand-in for the policy service; approves all hosts except those in ``denied``."""
+    """Stand-in for the policy service; approves all hosts except those in ``denied``.
+
+    :param born: returns the start of a host's present life. Without it, the tickets hold for none
+        in particular, and hosts don't check them.
+    """
 
     denied: set[str] = field(factory=set)
     decision_s: float = 0.01
+    valid_ms: int = 1500
+    born: Callable[[str], int] | None = None
     request_count: int = 0
 
     def app(self) -> Starlette:
@@ -236,5 +278,16 @@
         body = await request.json()
         self.request_count += 1
         await asyncio.sleep(self.decision_s)
-        approved = [[id, f"ticket-{id}"] for id in body["workers"] if id not in self.denied]
-        return JSONResponse({"approved": approved, "validMs": 1500})
+        approved = [
+            [id, self._ticket(body["stepId"], id)]
+            for id in body["workers"]
+            if id not in self.denied
+        ]
+        return JSONResponse({"approved": approved, "validMs": self.valid_ms})
+
+    def _ticket(self, step: str, host: str) -> str:
+        if self.born is None:
+            return f"ticket-{host}"
+        valid_until_ms = int(time.monotonic() * 1000) + self.valid_ms
+        ticket = Ticket(step=step, host=host, born=self.born(host), valid_until_ms=valid_until_ms)
+        return ticket.encode()
