--- a/tests/cell/cell_harness.py
+++ b/tests/cell/cell_harness.py
@@ -141,8 +141,14 @@
     addresses: dict[str, str] = Factory(dict)
     # Resource limits in the settings file of each process.
     limits: dict[str, int] = Factory(dict)
+    # Module that each process runs, and additions to its environment.
+    module: str = "rhubarbferry.platform"
+    environment: dict[str, str] = Factory(dict)
+    # Addresses at which a process finds the store, instead of ``store_address``.
+    store_addresses: dict[str, str] = Factory(dict)
     store_address: str = ""
     policy_address: str = ""
+    starts: int = 0
     session: aiohttp.ClientSession = field(init=False)
     _stack: AsyncExitStack = Factory(AsyncExitStack)
 
@@ -176,22 +182,23 @@
             peer_port=ports[0],
             front_port=ports[1],
             health_port=ports[2],
-            store=self.store_address,
+            store=self.store_addresses.get(name, self.store_address),
             advisor=f'advisor = "{self.policy_address}"',
             limits="\n".join(f"{key} = {value}" for key, value in self.limits.items()),
         )
         path = self.dir / f"{name}.toml"
         path.write_text(text)
-        output = self.dir / f"{name}.{len(self.members)}.log"
+        self.starts += 1
+        output = self.dir / f"{name}.{self.starts}.log"
         with output.open("wb") as sink:
             child = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "rhubarbferry.platform",
+                self.module,
                 *args,
                 stdout=sink,
                 stderr=asyncio.subprocess.STDOUT,
-                env={**os.environ, "RHUBARBFERRY_SETTINGS": str(path)},
+                env={**os.environ, **self.environment, "RHUBARBFERRY_SETTINGS": str(path)},
             )
         member = MemberProcess(
             name=name,
