--- a/rhubarbferry/test/platform_store.py
+++ b/rhubarbferry/test/platform_store.py
@@ -37,6 +37,7 @@
     :param no_history: answer watches with 410, as if their history were compacted.
     :param deaf: omit all events from the answers to watches, which still state the current
         revision.
+    :param page_items: maximum number of items in a page of a listing.
     :param no_bare_conditions: reject transactions without writes or removals with 400.
     :param keep_leases: reject calls that end a lease with 503.
     """
@@ -48,6 +49,7 @@
     answer_s: float = 0.002
     no_history: bool = False
     deaf: bool = False
+    page_items: int = MAX_PAGE_ITEMS
     no_bare_conditions: bool = False
     keep_leases: bool = False
 
@@ -56,7 +58,6 @@
 class PlatformStoreStandIn:
     """Store stand-in with keys, leases and long-poll watches.
 
-    :param page_items: maximum number of items on one page of a listing.
     :param between_pages: called before each further page of a listing is read.
     """
 
@@ -64,7 +65,6 @@
     faults: PlatformStoreFaults = field(factory=PlatformStoreFaults)
     clock: SystemClock = field(factory=SystemClock)
     calls: dict[str, int] = field(factory=dict)
-    page_items: int = MAX_PAGE_ITEMS
     between_pages: Callable[[], None] = lambda: None
     _writes: int = 0
 
@@ -124,7 +124,7 @@
         if start:
             self.between_pages()
         found = self.engine.read(max(prefix, start + "\0" if start else ""), prefix_end(prefix))
-        page = found[: self.page_items]
+        page = found[: self.faults.page_items]
         return JSONResponse(
             {
                 "items": [_item(stored.kv) for stored in page],
--- a/tests/cell/test_job_watch.py
+++ b/tests/cell/test_job_watch.py
@@ -187,7 +187,7 @@
         for key, value in items:
             stand_in.engine.txn([], [store_engine.Put(key=key, value=value)])
 
-    stand_in.page_items = 1
+    stand_in.faults.page_items = 1
     stand_in.between_pages = write
 
 
