Count the validity of a ticket from the test and not from its collection

One whole run of the tests beside load failed in test_tickets.py[valid]: the ticket's end was computed when the module was collected, 60 s ahead, and the test ran about eight minutes later. The case is the same, and the ticket that has expired is still 1 ms past its end.

--- a/tests/test/test_tickets.py
+++ b/tests/test/test_tickets.py
@@ -10,8 +10,12 @@
 from rhubarbferry.test.platform_worker import PlatformWorkerStandIn, Ticket
 
 TASK = "5c0e7a21d94b36f8.0.0.3"
-NOW_MS = int(time.monotonic() * 1000)
-VALID = {"step": "5c0e7a21d94b36f8.0.0", "host": "a", "born": 9, "valid_until_ms": NOW_MS + 60_000}
+VALID = {"step": "5c0e7a21d94b36f8.0.0", "host": "a", "born": 9, "valid_for_ms": 60_000}
+
+
+def ticket(*, valid_for_ms: int, **fields) -> str:
+    now_ms = int(time.monotonic() * 1000)
+    return Ticket(valid_until_ms=now_ms + valid_for_ms, **fields).encode()
 
 
 @pytest.mark.parametrize(
@@ -22,7 +26,7 @@
         pytest.param({"host": "b"}, False, id="another host"),
         pytest.param({"born": 8}, False, id="earlier life"),
         pytest.param({"born": 10}, False, id="later life"),
-        pytest.param({"valid_until_ms": NOW_MS - 1}, False, id="expired"),
+        pytest.param({"valid_for_ms": -1}, False, id="expired"),
     ],
 )
 def test_a_ticket_holds_for_one_step_and_life(changes, accepted):
@@ -30,7 +34,7 @@
     host = PlatformWorkerStandIn(
         id="a", service="pool", store=PlatformStoreStandIn(), checks_tickets=True, born=9
     )
-    assert host._accepts_ticket(TASK, Ticket(**{**VALID, **changes}).encode()) is accepted
+    assert host._accepts_ticket(TASK, ticket(**{**VALID, **changes})) is accepted
 
 
 @pytest.mark.parametrize("text", ["", "ticket-a", "a/b/c"])
