End a term whose recorder was cancelled as a job ended

Its logs show job.taken, from notices, and job.recorded, and no other line of its term: of all the term's tasks only the recorder was alive, and the term waited for it.

Cause: asyncio.wait_for, as Python 3.11 has it, swallows a cancellation that comes in the same turn of the event loop as the result. The store was slow, the lease had run out, one poller found that and ended the term, and another had just reported the end of a job, for which the recorder waited. The recorder went on. A renewal was answered late, so its next check passed, and the lease was kept for good.

Change: asyncio.timeout, which lets a cancellation through, in the three places that waited so (the recorder, the candidate, the settings of a process). And a tenure that was found to have ended with its lease stays ended, so that a late renewal can't revive a part of it.

--- a/rhubarbferry/cell/candidate.py
+++ b/rhubarbferry/cell/candidate.py
@@ -223,7 +223,8 @@
         Any delay here lengthens a start or an outage.
         """
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.process.keeper.granted.wait(), STORE_RETRY_INTERVAL_S)
+            async with asyncio.timeout(STORE_RETRY_INTERVAL_S):
+                await self.process.keeper.granted.wait()
         if self.process.keeper.granted.is_set() and self.process.keeper.kept_lease() is None:
             # The lease has expired, and its keeper has not noticed yet.
             await asyncio.sleep(EXPIRED_LEASE_POLL_INTERVAL_S)
--- a/rhubarbferry/cell/recorder.py
+++ b/rhubarbferry/cell/recorder.py
@@ -64,7 +64,8 @@
         while True:
             await self.ctx.record.wait()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.ctx.job_ended.wait(), MAX_BATCH_DELAY_S)
+                async with asyncio.timeout(MAX_BATCH_DELAY_S):
+                    await self.ctx.job_ended.wait()
             await asyncio.sleep(BATCH_WINDOW_S)
             self.ctx.record.clear()
             self.ctx.job_ended.clear()
--- a/rhubarbferry/cell/term_context.py
+++ b/rhubarbferry/cell/term_context.py
@@ -82,8 +82,11 @@
         :raises OwnershipLost: if it is no longer the owner.
         """
         lease = self.keeper.kept_lease()
-        if self.ended or lease is None or lease.id != self.lease_id:
-            raise OwnershipLost(self.ended or "the lease was not extended in time")
+        if lease is None or lease.id != self.lease_id:
+            # A renewal that is answered late must not revive a term whose tasks are being stopped.
+            self.end("the lease was not extended in time", by=EndSignal.LEASE)
+        if self.ended:
+            raise OwnershipLost(self.ended)
 
     def end(self, reason: str, *, by: EndSignal = EndSignal.OWN) -> None:
         """Mark the ownership as lost; the first reason is kept."""
--- a/rhubarbferry/platform/process.py
+++ b/rhubarbferry/platform/process.py
@@ -282,7 +282,8 @@
         """Apply changes of the settings file, on SIGHUP and at regular intervals."""
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.signals.reload.wait(), SETTINGS_POLL_INTERVAL_S)
+                async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
+                    await self.signals.reload.wait()
             self.signals.reload.clear()
             try:
                 settings = read_settings(self.own_settings)
